--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,14 @@
+//! Which upstream a new flow goes to, and how much each upstream may be given.
+//!
+//! Pure data: every function that decides takes `now`, nothing here does I/O, and no protocol is
+//! known here.
+
+pub mod budget;
+pub mod pool;
+pub mod ramp;
+pub mod share;
+
+pub use budget::Budget;
+pub use pool::{Pool, Refusal, Spec};
+pub use ramp::Limits;
+pub use share::Share;
--- /dev/null
+++ b/crates/balance/src/pool.rs
@@ -0,0 +1,202 @@
+//! The upstreams of one service as one entry sees them, and the choice among them.
+
+use std::net::Ipv4Addr;
+
+use indexmap::IndexMap;
+use stdx::time::Timestamp;
+
+use crate::budget::Budget;
+use crate::ramp::Limits;
+use crate::share::Share;
+
+/// Seconds of the cold opening rate that may be used at once.
+const COLD_BURST_S: f64 = 0.25;
+
+stdx::record! {
+    /// What the configuration says of an upstream.
+    pub struct Spec {
+        /// Address of the upstream.
+        pub upstream: Ipv4Addr,
+        /// Relative share of flows; at least one.
+        pub weight: u32,
+        /// Whether it takes new flows.
+        pub eligible: bool,
+        /// Its limits over all entries.
+        pub limits: Limits,
+    }
+}
+
+stdx::value! {
+    /// Why no upstream was chosen.
+    pub enum Refusal {
+        /// The service has no upstream that takes new flows.
+        NoneEligible,
+        /// Every eligible upstream is at its limit.
+        AllAtLimit,
+    }
+}
+
+/// The upstreams of one service.
+#[derive(Debug, Clone, Default)]
+pub struct Pool {
+    upstreams: IndexMap<Ipv4Addr, State>,
+}
+
+#[derive(Debug, Clone)]
+struct State {
+    spec: Spec,
+    open: u32,
+    cold_since: Option<Timestamp>,
+    cold_opens: Budget,
+}
+
+impl Pool {
+    /// Takes over a new configuration. Upstreams that become eligible start cold.
+    pub fn apply(&mut self, now: Timestamp, specs: &[Spec]) {
+        self.upstreams
+            .retain(|ip, _| specs.iter().any(|spec| spec.upstream == *ip));
+        for spec in specs {
+            let Some(state) = self.upstreams.get_mut(&spec.upstream) else {
+                self.upstreams
+                    .insert(spec.upstream, State::cold(now, spec.clone()));
+                continue;
+            };
+            let returns = spec.eligible && !state.spec.eligible;
+            state.spec = spec.clone();
+            if returns {
+                state.start_cold(now);
+            }
+        }
+    }
+
+    /// Chooses the upstream for a new flow and counts the flow there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no upstream may take the flow.
+    pub fn open(
+        &mut self,
+        now: Timestamp,
+        share: Share,
+        exclude: &[Ipv4Addr],
+        rng: &mut fastrand::Rng,
+    ) -> Result<Ipv4Addr, Refusal> {
+        if !self.upstreams.values().any(|state| state.spec.eligible) {
+            return Err(Refusal::NoneEligible);
+        }
+        let best = self
+            .upstreams
+            .iter_mut()
+            .filter_map(|(ip, state)| {
+                let fits = !exclude.contains(ip) && state.has_room(now, share);
+                fits.then(|| (state.cost(), rng.u32(..), *ip))
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let Some((_, _, ip)) = best else {
+            return Err(Refusal::AllAtLimit);
+        };
+        let state = &mut self.upstreams[&ip];
+        state.open += 1;
+        state.spend_cold_open(now, share);
+        Ok(ip)
+    }
+
+    /// Counts a flow that was opened elsewhere and is now decided here.
+    pub fn adopt(&mut self, upstream: Ipv4Addr) {
+        if let Some(state) = self.upstreams.get_mut(&upstream) {
+            state.open += 1;
+        }
+    }
+
+    /// Counts the end of a flow.
+    pub fn close(&mut self, upstream: Ipv4Addr) {
+        if let Some(state) = self.upstreams.get_mut(&upstream) {
+            state.open = state.open.saturating_sub(1);
+        }
+    }
+
+    /// Open flows that this entry counts at an upstream.
+    pub fn open_flows(&self, upstream: Ipv4Addr) -> u32 {
+        self.upstreams.get(&upstream).map_or(0, |state| state.open)
+    }
+
+    /// Open flows that this entry counts, by upstream.
+    pub fn counts(&self) -> impl Iterator<Item = (Ipv4Addr, u32)> + '_ {
+        self.upstreams.iter().map(|(ip, state)| (*ip, state.open))
+    }
+
+    /// Starts an upstream's ramp again, because it restarted or collapsed.
+    pub fn mark_cold(&mut self, now: Timestamp, upstream: Ipv4Addr) {
+        if let Some(state) = self.upstreams.get_mut(&upstream) {
+            state.start_cold(now);
+        }
+    }
+
+    /// Takes a peer's word for how long an upstream has been warming up, if that is longer.
+    pub fn learn_cold_since(&mut self, upstream: Ipv4Addr, cold_since: Timestamp) {
+        let Some(state) = self.upstreams.get_mut(&upstream) else {
+            return;
+        };
+        if state.cold_since.is_some_and(|own| cold_since < own) {
+            state.cold_since = Some(cold_since);
+        }
+    }
+
+    /// Each upstream with the start of its last ramp, for peers.
+    pub fn cold_starts(&self) -> impl Iterator<Item = (Ipv4Addr, Timestamp)> + '_ {
+        self.upstreams
+            .iter()
+            .filter(|(_, state)| state.spec.eligible)
+            .filter_map(|(ip, state)| Some((*ip, state.cold_since?)))
+    }
+}
+
+impl State {
+    fn cold(now: Timestamp, spec: Spec) -> Self {
+        let cold_opens = Budget::new(now, 0.0, 0.0);
+        let mut state = Self {
+            spec,
+            open: 0,
+            cold_since: None,
+            cold_opens,
+        };
+        state.start_cold(now);
+        state
+    }
+
+    fn start_cold(&mut self, now: Timestamp) {
+        self.cold_since = Some(now);
+        self.cold_opens = Budget::new(now, 1.0, 0.0);
+    }
+
+    fn has_room(&mut self, now: Timestamp, share: Share) -> bool {
+        if !self.spec.eligible {
+            return false;
+        }
+        let limit = share.of(self.spec.limits.flows_at(now, self.cold_since));
+        if self.open >= limit {
+            return false;
+        }
+        self.cold_rate(now, share).is_none_or(|rate| {
+            self.cold_opens
+                .set_rate(now, (rate * COLD_BURST_S).max(1.0), rate);
+            self.cold_opens.holds(now, 1.0)
+        })
+    }
+
+    fn spend_cold_open(&mut self, now: Timestamp, share: Share) {
+        if self.cold_rate(now, share).is_some() {
+            self.cold_opens.take(now, 1.0);
+        }
+    }
+
+    /// This entry's part of the cold opening rate, in openings a second.
+    fn cold_rate(&self, now: Timestamp, share: Share) -> Option<f64> {
+        let rate = self.spec.limits.opens_at(now, self.cold_since)?;
+        Some(rate / f64::from(share.entries.max(1)))
+    }
+
+    fn cost(&self) -> f64 {
+        f64::from(self.open + 1) / f64::from(self.spec.weight.max(1))
+    }
+}
--- /dev/null
+++ b/crates/flow/src/home.rs
@@ -0,0 +1,533 @@
+//! What an entry decides as the home of a flow: opening, holding, closing, refusing.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use packet::{Protocol, Transport, View};
+use stdx::time::Timestamp;
+
+use crate::action::{Action, Message, Target};
+use crate::count::Count;
+use crate::engine::{Engine, Packet, Side, Verdict};
+use crate::key::Key;
+use crate::service::Stage;
+
+/// Upstreams that one opening may be tried at.
+const MAX_TRIES: usize = 3;
+
+/// Time after which an unanswered opening is forgotten.
+const OPENING_LIFETIME: Duration = Duration::from_secs(30);
+
+/// Time after which a flow is forgotten whose caller never acknowledged the answer to its opening.
+const HALF_OPEN_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Time that a closed flow is kept so that its last packets find their way.
+const CLOSING_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Time after a slot moved in which the previous home may still be busy with its openings.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Entries told to forget a stale learned flow.
+const MAX_FORGET: usize = 8;
+
+/// Flows looked at for expiry on each tick.
+const SWEEP_PER_TICK: usize = 256;
+
+stdx::value! {
+    /// How far a flow is.
+    pub(crate) enum State {
+        /// Sent to an upstream that has not answered.
+        Opening,
+        /// The upstream has answered, the caller has not.
+        HalfOpen,
+        /// Both ends have been heard.
+        Established,
+        /// Found again after its state was lost; the upstream has not confirmed it yet.
+        Recovered,
+        /// One end has ended it.
+        Closing,
+    }
+
+    /// What the home knows of a flow.
+    pub(crate) struct HomeFlow {
+        pub(crate) upstream: Ipv4Addr,
+        pub(crate) seen_s: u32,
+        /// The caller's initial sequence number; zero if unknown.
+        pub(crate) isn: u32,
+        pub(crate) state: State,
+        pub(crate) fin_caller: bool,
+        pub(crate) fin_upstream: bool,
+    }
+}
+
+/// An opening that no upstream has answered yet.
+#[derive(Debug, Clone)]
+pub(crate) struct Opening {
+    packet: Box<[u8]>,
+    /// Whether it may be sent to a second upstream.
+    repeatable: bool,
+    started: Timestamp,
+    sent: Timestamp,
+    tried: Vec<Ipv4Addr>,
+}
+
+impl HomeFlow {
+    /// Whether an upstream is known to hold the flow.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.state != State::Opening
+    }
+
+    fn new(now: Timestamp, upstream: Ipv4Addr, isn: u32, state: State) -> Self {
+        let seen_s = now.as_secs() as u32;
+        Self {
+            upstream,
+            seen_s,
+            isn,
+            state,
+            fin_caller: false,
+            fin_upstream: false,
+        }
+    }
+
+    /// Order of eviction: closed flows first, then unanswered ones, then the longest silent.
+    fn rank(&self) -> (u8, u32) {
+        let class = match self.state {
+            State::Closing => 0,
+            State::Opening | State::HalfOpen => 1,
+            State::Recovered | State::Established => 2,
+        };
+        (class, self.seen_s)
+    }
+
+    fn lifetime(&self, idle: Duration) -> Duration {
+        match self.state {
+            State::Opening => OPENING_LIFETIME,
+            State::HalfOpen => HALF_OPEN_LIFETIME,
+            State::Closing => CLOSING_LIFETIME,
+            State::Established | State::Recovered => idle,
+        }
+    }
+}
+
+impl Engine {
+    pub(crate) fn decide_as_home(
+        &mut self,
+        now: Timestamp,
+        packet: &Packet<'_>,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        match (packet.side, self.flows.get(&packet.key).copied()) {
+            (Side::Caller, Some(flow)) => self.request_of_known(now, packet, flow, out),
+            (Side::Caller, None) => self.request_of_unknown(now, packet, out),
+            (Side::Upstream(ip), Some(flow)) => self.reply_of_known(now, packet, ip, flow, out),
+            (Side::Upstream(ip), None) => self.reply_of_unknown(now, packet, ip, out),
+        }
+    }
+
+    fn request_of_known(
+        &mut self,
+        now: Timestamp,
+        packet: &Packet<'_>,
+        flow: HomeFlow,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let reopens = packet.view.is_opening()
+            && flow.state == State::Closing
+            && flow.isn != initial_sequence(packet.view);
+        if reopens {
+            self.remove_flow(&packet.key);
+            self.broadcast_forget(packet.key, flow.upstream, out);
+            return self.open(now, packet);
+        }
+        match self.stage(&packet.key, flow.upstream) {
+            Some(Stage::Active | Stage::Draining) => {}
+            Some(Stage::Out) | None => return self.give_up(packet),
+        }
+        let flags = packet.view.flags();
+        let key = packet.key;
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.seen_s = now.as_secs() as u32;
+            flow.fin_caller |= flags.fin;
+            if flow.state == State::HalfOpen && !flags.syn {
+                flow.state = State::Established;
+            }
+        }
+        if flags.rst {
+            self.start_closing(&key);
+        }
+        self.close_if_finished(&key);
+        self.counters.add(Count::ByHome);
+        Verdict::Forward(self.upstream_target(&key, flow.upstream))
+    }
+
+    fn request_of_unknown(
+        &mut self,
+        now: Timestamp,
+        packet: &Packet<'_>,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let Some(service) = self.service(&packet.key) else {
+            return Verdict::Drop(Count::NoService);
+        };
+        let lost = now.since(self.homes.moved_at(self.slot(&packet.key)));
+        let may_be_lost = lost < service.idle;
+        match packet.view.transport {
+            Transport::Tcp { flags, .. } if flags.syn && !flags.ack => {
+                if lost < SETTLE_TIME {
+                    return self.recover(now, packet, out);
+                }
+                self.open(now, packet)
+            }
+            Transport::Tcp { .. } | Transport::Udp { .. } if may_be_lost => {
+                self.recover(now, packet, out)
+            }
+            Transport::Tcp { flags, .. } if flags.rst => Verdict::Drop(Count::UnknownFlow),
+            Transport::Tcp { .. } => Verdict::Reset,
+            Transport::Udp { .. } => self.open(now, packet),
+            Transport::IcmpError { .. } => Verdict::Drop(Count::UnknownFlow),
+        }
+    }
+
+    /// Chooses an upstream for a flow and forwards its first packet there.
+    pub(crate) fn open(&mut self, now: Timestamp, packet: &Packet<'_>) -> Verdict {
+        let key = packet.key;
+        let address = key.address();
+        let (Some(service), Some(pool)) =
+            (self.services.get(&address), self.pools.get_mut(&address))
+        else {
+            return Verdict::Drop(Count::NoService);
+        };
+        let Ok(upstream) = pool.open(now, self.share, &[], &mut self.rng) else {
+            return Verdict::Refuse;
+        };
+        let opening = Opening {
+            packet: packet.view.bytes.into(),
+            repeatable: is_repeatable(packet.view, service.repeatable),
+            started: now,
+            sent: now,
+            tried: vec![upstream],
+        };
+        self.retries.earn(f64::from(self.cfg.retry_percent) / 100.0);
+        let isn = initial_sequence(packet.view);
+        self.insert_flow(key, HomeFlow::new(now, upstream, isn, State::Opening));
+        self.insert_opening(key, opening);
+        self.counters.add(Count::Opened);
+        Verdict::Forward(self.upstream_target(&key, upstream))
+    }
+
+    fn reply_of_known(
+        &mut self,
+        now: Timestamp,
+        packet: &Packet<'_>,
+        ip: Ipv4Addr,
+        flow: HomeFlow,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let flags = packet.view.flags();
+        if flow.state == State::Opening {
+            return self.reply_to_opening(now, packet, ip, flow, out);
+        }
+        if ip != flow.upstream {
+            return self.swallow(packet, ip, out);
+        }
+        if flags.rst && flow.state == State::Recovered {
+            // What was found may be stale: look again when the caller sends again.
+            self.remove_flow(&packet.key);
+            self.broadcast_forget(packet.key, ip, out);
+            return Verdict::Drop(Count::Swallowed);
+        }
+        let key = packet.key;
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.seen_s = now.as_secs() as u32;
+            flow.fin_upstream |= flags.fin;
+            if flow.state == State::Recovered {
+                flow.state = State::Established;
+            }
+        }
+        if flags.rst {
+            self.start_closing(&key);
+        }
+        self.close_if_finished(&key);
+        self.counters.add(Count::ByHome);
+        Verdict::Forward(Target::Caller)
+    }
+
+    /// The first upstream that accepts an opening holds the flow.
+    fn reply_to_opening(
+        &mut self,
+        now: Timestamp,
+        packet: &Packet<'_>,
+        ip: Ipv4Addr,
+        flow: HomeFlow,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        let flags = packet.view.flags();
+        let accepts = match packet.view.transport {
+            Transport::Tcp { ack, flags, .. } => {
+                flags.syn && flags.ack && ack == flow.isn.wrapping_add(1)
+            }
+            Transport::Udp { .. } => ip == flow.upstream,
+            Transport::IcmpError { .. } => false,
+        };
+        if accepts {
+            self.accept(now, packet, ip);
+            return Verdict::Forward(Target::Caller);
+        }
+        if flags.rst && ip == flow.upstream {
+            return self.refused_by_upstream(now, packet, out);
+        }
+        if flags.rst || packet.view.protocol() == Protocol::Udp {
+            return Verdict::Drop(Count::Swallowed);
+        }
+        self.swallow(packet, ip, out)
+    }
+
+    fn accept(&mut self, now: Timestamp, packet: &Packet<'_>, ip: Ipv4Addr) {
+        let key = packet.key;
+        let opening = self.openings.swap_remove(&key);
+        let tried = opening.map(|opening| opening.tried).unwrap_or_default();
+        if let Some(pool) = self.pools.get_mut(&key.address()) {
+            tried
+                .iter()
+                .filter(|other| **other != ip)
+                .for_each(|other| pool.close(*other));
+        }
+        let state = match packet.view.protocol() {
+            Protocol::Tcp => State::HalfOpen,
+            Protocol::Udp => State::Established,
+        };
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.upstream = ip;
+            flow.state = state;
+            flow.seen_s = now.as_secs() as u32;
+        }
+        self.counters.add(Count::ByHome);
+    }
+
+    /// A refusal is passed on only when no other upstream may be asked; it is then true, because
+    /// an opening without payload has run nowhere.
+    fn refused_by_upstream(
+        &mut self,
+        now: Timestamp,
+        packet: &Packet<'_>,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        if self.try_elsewhere(now, packet.key, out) {
+            return Verdict::Drop(Count::Swallowed);
+        }
+        self.remove_flow(&packet.key);
+        self.counters.add(Count::Refused);
+        Verdict::Forward(Target::Caller)
+    }
+
+    fn reply_of_unknown(
+        &mut self,
+        now: Timestamp,
+        packet: &Packet<'_>,
+        ip: Ipv4Addr,
+        out: &mut Vec<Action>,
+    ) -> Verdict {
+        if self.pending.contains_key(&packet.key) {
+            return self.reply_to_pending(now, packet, ip, out);
+        }
+        let flags = packet.view.flags();
+        if flags.rst {
+            return Verdict::Drop(Count::Swallowed);
+        }
+        if flags.syn {
+            return self.recover(now, packet, out);
+        }
+        if flags.fin {
+            return Verdict::Forward(Target::Caller);
+        }
+        self.adopt(now, packet.key, ip);
+        self.counters.add(Count::ByHome);
+        Verdict::Forward(Target::Caller)
+    }
+
+    /// Becomes the home of a flow that an upstream is known to hold.
+    pub(crate) fn adopt(&mut self, now: Timestamp, key: Key, upstream: Ipv4Addr) {
+        self.insert_settled(now, key, upstream, State::Established);
+    }
+
+    pub(crate) fn insert_settled(
+        &mut self,
+        now: Timestamp,
+        key: Key,
+        upstream: Ipv4Addr,
+        state: State,
+    ) {
+        if let Some(pool) = self.pools.get_mut(&key.address()) {
+            pool.adopt(upstream);
+        }
+        self.insert_flow(key, HomeFlow::new(now, upstream, 0, state));
+    }
+
+    /// Drops a reply of an upstream that does not hold the flow and frees the upstream's end.
+    fn swallow(&mut self, packet: &Packet<'_>, ip: Ipv4Addr, out: &mut Vec<Action>) -> Verdict {
+        self.broadcast_forget(packet.key, ip, out);
+        if packet.view.flags().syn {
+            self.counters.add(Count::Swallowed);
+            return Verdict::Reset;
+        }
+        Verdict::Drop(Count::Swallowed)
+    }
+
+    fn broadcast_forget(&mut self, key: Key, upstream: Ipv4Addr, out: &mut Vec<Action>) {
+        let message = Message::Forget { key, upstream };
+        let others = self.homes.members().iter().filter(|id| **id != self.cfg.id);
+        out.extend(
+            others
+                .take(MAX_FORGET)
+                .map(|to| Action::Tell { to: *to, message }),
+        );
+        self.forget(&key, upstream);
+    }
+
+    fn give_up(&mut self, packet: &Packet<'_>) -> Verdict {
+        self.remove_flow(&packet.key);
+        self.counters.add(Count::GivenUp);
+        Verdict::Reset
+    }
+
+    pub(crate) fn tick_openings(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let (mut late, mut dead) = (Vec::new(), Vec::new());
+        for (key, opening) in &self.openings {
+            let Some(service) = self.services.get(&key.address()) else {
+                dead.push(*key);
+                continue;
+            };
+            if now.since(opening.started) > OPENING_LIFETIME {
+                dead.push(*key);
+            } else if opening.repeatable && now.since(opening.sent) > service.opening {
+                late.push(*key);
+            }
+        }
+        for key in dead {
+            self.remove_flow(&key);
+        }
+        for key in late {
+            self.try_elsewhere(now, key, out);
+        }
+    }
+
+    /// Sends an opening to an upstream that has not seen it yet, within the retry budget.
+    fn try_elsewhere(&mut self, now: Timestamp, key: Key, out: &mut Vec<Action>) -> bool {
+        let Some(opening) = self.openings.get_mut(&key) else {
+            return false;
+        };
+        if !opening.repeatable || opening.tried.len() >= MAX_TRIES {
+            return false;
+        }
+        let Some(pool) = self.pools.get_mut(&key.address()) else {
+            return false;
+        };
+        if !self.retries.take(now, 1.0) {
+            return false;
+        }
+        let Ok(upstream) = pool.open(now, self.share, &opening.tried, &mut self.rng) else {
+            return false;
+        };
+        opening.tried.push(upstream);
+        opening.sent = now;
+        let bytes = opening.packet.clone();
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.upstream = upstream;
+        }
+        self.counters.add(Count::OpeningRetried);
+        out.push(Action::Emit {
+            bytes,
+            to: self.upstream_target(&key, upstream),
+        });
+        true
+    }
+
+    fn insert_flow(&mut self, key: Key, flow: HomeFlow) {
+        if let Some((key, flow)) = self.flows.insert(key, flow, HomeFlow::rank) {
+            self.release(&key, &flow);
+            self.counters.add(Count::Evicted);
+        }
+    }
+
+    fn insert_opening(&mut self, key: Key, opening: Opening) {
+        if self.openings.len() >= self.cfg.max_openings {
+            let victim = self.rng.usize(..self.openings.len());
+            let victim = self.openings.get_index(victim).map(|(key, _)| *key);
+            victim.inspect(|key| self.remove_flow(key));
+            self.counters.add(Count::Evicted);
+        }
+        self.openings.insert(key, opening);
+    }
+
+    /// Removes a flow and what the pool counts for it.
+    pub(crate) fn remove_flow(&mut self, key: &Key) {
+        if let Some(flow) = self.flows.remove(key) {
+            self.release(key, &flow);
+        }
+    }
+
+    /// Takes a removed flow out of the pool's counts.
+    fn release(&mut self, key: &Key, flow: &HomeFlow) {
+        let opening = self.openings.swap_remove(key);
+        let Some(pool) = self.pools.get_mut(&key.address()) else {
+            return;
+        };
+        match opening {
+            Some(opening) => opening.tried.iter().for_each(|ip| pool.close(*ip)),
+            None if flow.state != State::Closing => pool.close(flow.upstream),
+            None => {}
+        }
+    }
+
+    fn close_if_finished(&mut self, key: &Key) {
+        if self
+            .flows
+            .get(key)
+            .is_some_and(|flow| flow.fin_caller && flow.fin_upstream)
+        {
+            self.start_closing(key);
+        }
+    }
+
+    fn start_closing(&mut self, key: &Key) {
+        let Some(flow) = self.flows.get_mut(key) else {
+            return;
+        };
+        if flow.state == State::Closing {
+            return;
+        }
+        let before = *flow;
+        flow.state = State::Closing;
+        self.release(key, &before);
+    }
+
+    pub(crate) fn sweep_flows(&mut self, now: Timestamp) {
+        let services = &self.services;
+        let mut expired = Vec::new();
+        self.flows.sweep(SWEEP_PER_TICK, |key, flow| {
+            let idle = services
+                .get(&key.address())
+                .map_or(Duration::ZERO, |service| service.idle);
+            let silent = (now.as_secs() as u32).saturating_sub(flow.seen_s);
+            if u64::from(silent) > flow.lifetime(idle).as_secs() {
+                expired.push(*key);
+            }
+            false
+        });
+        for key in expired {
+            self.remove_flow(&key);
+        }
+    }
+}
+
+/// An opening without payload runs nowhere and may always be repeated.
+fn is_repeatable(view: &View<'_>, service_allows: bool) -> bool {
+    service_allows || (view.protocol() == Protocol::Tcp && view.payload_len() == 0)
+}
+
+fn initial_sequence(view: &View<'_>) -> u32 {
+    match view.transport {
+        Transport::Tcp { seq, .. } => seq,
+        Transport::Udp { .. } | Transport::IcmpError { .. } => 0,
+    }
+}
--- /dev/null
+++ b/crates/ibis-entry/src/control/actor.rs
@@ -0,0 +1,395 @@
+//! The actor that owns the control state.
+
+use std::net::Ipv4Addr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
+use std::time::Duration;
+
+use ::config::Revision;
+use ::config::revision::{Held, Outcome};
+use ::events::{Kind, Ring, Stamp};
+use flow::Id;
+use indexmap::IndexMap;
+use kameo::Actor;
+use kameo::message::{Context, Message};
+use membership::{Members, Timing, View};
+use peer_proto::v1;
+use peer_proto::v1::control::Kind as Control;
+use stdx::time::{Clock, Timestamp};
+
+use crate::control::services;
+use crate::peers::Links;
+use crate::platform_watch::Update;
+use crate::settings::Settings;
+use crate::traffic::{ColdStart, Command, Report};
+
+/// Time between the actor's ticks.
+pub const TICK: Duration = Duration::from_millis(50);
+
+/// Time between heartbeats.
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(250);
+
+/// Shortest time between two requests for a peer's documents.
+const WANTED_EVERY: Duration = Duration::from_millis(500);
+
+/// Reports without packets from the fabric after which an entry is quiet.
+const QUIET_REPORTS: u32 = 2;
+
+const TIMING: Timing = Timing {
+    suspect_after: Duration::from_secs(1),
+    dead_after: Duration::from_secs(10),
+    pause: Duration::from_millis(750),
+    confirm: Duration::from_millis(1_500),
+};
+
+/// The control state of an entry.
+#[derive(Debug, Actor)]
+pub struct ControlState {
+    clock: Clock,
+    own: Ipv4Addr,
+    zone: String,
+    started: Timestamp,
+    sequence: u64,
+    members: Members,
+    view: Option<View>,
+    documents: Held,
+    ring: SharedRing,
+    commands: mpsc::Sender<Command>,
+    links: Links,
+    last_heartbeat: Timestamp,
+    last_wanted: IndexMap<Ipv4Addr, Timestamp>,
+    cold_starts: Vec<ColdStart>,
+    platform_lost: bool,
+    ready: bool,
+    leaving: bool,
+    quiet_reports: u32,
+    health: tokio::sync::watch::Sender<bool>,
+}
+
+/// The ring of events, read by the admin port on the same thread.
+pub type SharedRing = Arc<Mutex<Ring>>;
+
+/// Time has passed.
+#[derive(Debug, Clone, Copy)]
+pub struct Tick;
+
+/// The entry is to stop as planned.
+#[derive(Debug, Clone, Copy)]
+pub struct Leave;
+
+/// Asks whether the fabric has stopped sending packets here.
+#[derive(Debug, Clone, Copy)]
+pub struct IsQuiet;
+
+/// A message of another entry.
+#[derive(Debug)]
+pub struct FromPeer {
+    /// The entry.
+    pub from: Ipv4Addr,
+    /// The message.
+    pub message: Control,
+}
+
+/// A peer was refused.
+#[derive(Debug)]
+pub struct PeerRefused {
+    /// Why.
+    pub reason: String,
+}
+
+impl ControlState {
+    /// The state of an entry that has just started.
+    pub fn new(
+        cfg: &Settings,
+        clock: Clock,
+        ring: SharedRing,
+        commands: mpsc::Sender<Command>,
+        links: Links,
+        health: tokio::sync::watch::Sender<bool>,
+    ) -> Self {
+        let now = clock.now();
+        let own = *cfg.listen.ip();
+        let state = Self {
+            clock,
+            own,
+            zone: cfg.zone.clone(),
+            started: now,
+            sequence: 0,
+            members: Members::new(now, own, &cfg.peers, TIMING),
+            view: None,
+            documents: Held::default(),
+            ring,
+            commands,
+            links,
+            last_heartbeat: Timestamp::default(),
+            last_wanted: IndexMap::new(),
+            cold_starts: Vec::new(),
+            platform_lost: false,
+            ready: false,
+            leaving: false,
+            quiet_reports: 0,
+            health,
+        };
+        state.record(now, Kind::Started, None, String::new());
+        state
+    }
+
+    fn tick(&mut self, now: Timestamp) {
+        self.members.tick(now);
+        let ready = !self.documents.is_empty() && !self.members.is_confirming();
+        self.members.set_ready(ready);
+        if ready && !self.ready {
+            self.record(now, Kind::Ready, None, String::new());
+        }
+        self.ready = ready;
+        self.health.send_replace(self.ready && !self.leaving);
+        self.publish_view(now);
+        if now.since(self.last_heartbeat) >= HEARTBEAT_EVERY {
+            self.send_heartbeats(now);
+        }
+    }
+
+    fn publish_view(&mut self, now: Timestamp) {
+        let view = self.members.view(now);
+        if self.view.as_ref() == Some(&view) {
+            return;
+        }
+        let homes: Vec<Id> = view.homes.iter().copied().map(Id).collect();
+        let known: Vec<Id> = self.members.peers().map(Id).collect();
+        self.command(Command::Members {
+            homes,
+            known,
+            possible: view.possible,
+        });
+        let names: Vec<String> = view.homes.iter().map(ToString::to_string).collect();
+        let detail = format!("homes={} possible={}", names.join(","), view.possible);
+        tracing::info!(
+            homes = names.join(","),
+            possible = view.possible,
+            "view changed"
+        );
+        self.record(now, Kind::ViewChanged, None, detail);
+        self.view = Some(view);
+    }
+
+    fn send_heartbeats(&mut self, now: Timestamp) {
+        self.last_heartbeat = now;
+        self.sequence += 1;
+        let stamp = self.ring().stamp(now);
+        let heartbeat = Control::Heartbeat(v1::Heartbeat {
+            id: self.own.to_bits(),
+            zone: self.zone.clone(),
+            incarnation: self.started.as_micros(),
+            sequence: self.sequence,
+            ready: self.ready,
+            leaving: self.leaving,
+            clock_micros: stamp.micros,
+            clock_counter: stamp.counter,
+            documents: self.documents.fingerprint(),
+            cold_starts: self.cold_starts.iter().map(cold_start_out).collect(),
+        });
+        self.links.send_all(&peer_proto::encode_control(heartbeat));
+    }
+
+    fn on_heartbeat(&mut self, now: Timestamp, from: Ipv4Addr, heartbeat: &v1::Heartbeat) {
+        if heartbeat.id != from.to_bits() {
+            metrics::counter!("ibis_drop_foreign_heartbeat_total").increment(1);
+            return;
+        }
+        let stamp = Stamp {
+            micros: heartbeat.clock_micros,
+            counter: heartbeat.clock_counter,
+        };
+        self.ring().observe(now, stamp);
+        self.members.on_heartbeat(
+            now,
+            membership::Heartbeat {
+                id: from,
+                incarnation: Timestamp(heartbeat.incarnation),
+                sequence: heartbeat.sequence,
+                ready: heartbeat.ready,
+                leaving: heartbeat.leaving,
+            },
+        );
+        let cold_starts: Vec<_> = heartbeat.cold_starts.iter().map(cold_start_in).collect();
+        if !cold_starts.is_empty() {
+            self.command(Command::ColdStarts(cold_starts));
+        }
+        if heartbeat.documents != self.documents.fingerprint() {
+            self.want_documents(now, from);
+        }
+        self.publish_view(now);
+    }
+
+    fn want_documents(&mut self, now: Timestamp, from: Ipv4Addr) {
+        let last = self.last_wanted.get(&from).copied().unwrap_or_default();
+        if now.since(last) < WANTED_EVERY {
+            return;
+        }
+        self.last_wanted.insert(from, now);
+        let message = Control::DocumentsWanted(v1::DocumentsWanted {});
+        self.links.send(from, &peer_proto::encode_control(message));
+    }
+
+    fn send_documents(&mut self, to: Ipv4Addr) {
+        let document = |(service, held): (&String, &::config::revision::InForce)| v1::Document {
+            service: service.clone(),
+            revision: held.revision.0,
+            text: held.text.clone(),
+        };
+        let documents = self.documents.in_force().iter().map(document).collect();
+        let message = Control::Documents(v1::Documents { documents });
+        self.links.send(to, &peer_proto::encode_control(message));
+    }
+
+    fn offer(&mut self, now: Timestamp, service: &str, revision: u64, text: &str, from: &str) {
+        match self.documents.offer(service, Revision(revision), text) {
+            Outcome::Old => {}
+            Outcome::Applied => {
+                tracing::info!(service, revision, from, "document in force");
+                let detail = format!("revision={revision} from={from}");
+                self.record(now, Kind::DocumentApplied, Some(service), detail);
+                let services = services::services(self.documents.in_force());
+                self.command(Command::Services(services));
+            }
+            Outcome::Invalid(problems) => {
+                tracing::warn!(service, revision, from, %problems, "document rejected");
+                let detail = format!("revision={revision} from={from}: {problems}");
+                self.record(now, Kind::DocumentRejected, Some(service), detail);
+            }
+        }
+    }
+
+    fn set_platform_lost(&mut self, now: Timestamp, lost: bool, detail: String) {
+        if self.platform_lost == lost {
+            return;
+        }
+        self.platform_lost = lost;
+        let kind = if lost {
+            Kind::PlatformLost
+        } else {
+            Kind::PlatformBack
+        };
+        tracing::info!(lost, detail, "the platform's service");
+        self.record(now, kind, None, detail);
+    }
+
+    fn command(&self, command: Command) {
+        // The traffic thread ends only after this actor.
+        let _ = self.commands.send(command);
+    }
+
+    fn record(&self, now: Timestamp, kind: Kind, service: Option<&str>, detail: String) {
+        self.ring().record(now, kind, service, detail);
+    }
+
+    fn ring(&self) -> MutexGuard<'_, Ring> {
+        self.ring.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Message<Tick> for ControlState {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self, ()>) {
+        self.tick(self.clock.now());
+    }
+}
+
+impl Message<Leave> for ControlState {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Leave, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        self.leaving = true;
+        self.members.leave();
+        self.record(now, Kind::Leaving, None, String::new());
+        self.tick(now);
+        self.send_heartbeats(now);
+    }
+}
+
+impl Message<IsQuiet> for ControlState {
+    type Reply = bool;
+
+    async fn handle(&mut self, _: IsQuiet, _: &mut Context<Self, bool>) -> bool {
+        self.quiet_reports >= QUIET_REPORTS
+    }
+}
+
+impl Message<Report> for ControlState {
+    type Reply = ();
+
+    async fn handle(&mut self, report: Report, _: &mut Context<Self, ()>) {
+        self.quiet_reports = if report.fabric_packets == 0 {
+            self.quiet_reports + 1
+        } else {
+            0
+        };
+        self.cold_starts = report.cold_starts;
+    }
+}
+
+impl Message<FromPeer> for ControlState {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: FromPeer, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        match msg.message {
+            Control::Heartbeat(heartbeat) => self.on_heartbeat(now, msg.from, &heartbeat),
+            Control::DocumentsWanted(_) => self.send_documents(msg.from),
+            Control::Documents(documents) => {
+                let from = msg.from.to_string();
+                for document in documents.documents {
+                    self.offer(
+                        now,
+                        &document.service,
+                        document.revision,
+                        &document.text,
+                        &from,
+                    );
+                }
+            }
+        }
+    }
+}
+
+impl Message<PeerRefused> for ControlState {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: PeerRefused, _: &mut Context<Self, ()>) {
+        metrics::counter!("ibis_peers_refused_total").increment(1);
+        self.record(self.clock.now(), Kind::PeerRefused, None, msg.reason);
+    }
+}
+
+impl Message<Update> for ControlState {
+    type Reply = ();
+
+    async fn handle(&mut self, update: Update, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        match update {
+            Update::Lost(reason) => self.set_platform_lost(now, true, reason),
+            Update::Documents(documents) => {
+                self.set_platform_lost(now, false, String::new());
+                for document in documents {
+                    let revision = document.revision;
+                    self.offer(now, &document.service, revision, &document.text, "platform");
+                }
+            }
+        }
+    }
+}
+
+fn cold_start_out(cold: &ColdStart) -> v1::ColdStart {
+    v1::ColdStart {
+        upstream: cold.upstream.to_bits(),
+        since: cold.since.as_micros(),
+    }
+}
+
+fn cold_start_in(cold: &v1::ColdStart) -> ColdStart {
+    ColdStart {
+        upstream: Ipv4Addr::from_bits(cold.upstream),
+        since: Timestamp(cold.since),
+    }
+}
--- /dev/null
+++ b/crates/ibis-entry/src/control/run.rs
@@ -0,0 +1,160 @@
+//! Starts all parts of an entry and stops them in order.
+
+use std::io;
+use std::sync::{Arc, Mutex, mpsc};
+use std::time::Duration;
+
+use ::events::Ring;
+use kameo::actor::{ActorRef, Spawn};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use stdx::time::Clock;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::{self, Instant, MissedTickBehavior};
+
+use crate::control::actor::{ControlState, IsQuiet, Leave, TICK, Tick};
+use crate::settings::Settings;
+use crate::traffic::Command;
+use crate::traffic::thread::{self, Handle};
+use crate::{admin, peers, platform_watch, tls};
+
+/// Events that are kept for readers.
+const RING_EVENTS: usize = 4_096;
+
+/// Shortest time that a graceful stop goes on serving, so that all others have heard of it.
+const MIN_LINGER: Duration = Duration::from_secs(1);
+
+/// Time between checks whether a stopping entry is quiet.
+const QUIET_CHECK: Duration = Duration::from_millis(100);
+
+/// Why an entry can't run.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum Error {
+    /// A socket, thread or signal handler could not be set up.
+    #[display("{_0}")]
+    Io(io::Error),
+    /// Certificates or keys can't be used.
+    #[display("{_0}")]
+    Tls(tls::Error),
+    /// The platform's address can't be used.
+    #[display("{_0}")]
+    Platform(platform::Error),
+    /// The metrics can't be recorded.
+    #[display("metrics: {_0}")]
+    Metrics(metrics_exporter_prometheus::BuildError),
+}
+
+/// Runs an entry until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error if a part can't be started or fails for good.
+pub fn run(cfg: &Settings) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(cfg))
+}
+
+async fn serve(cfg: &Settings) -> Result<(), Error> {
+    let mut signals = (
+        signal(SignalKind::terminate())?,
+        signal(SignalKind::interrupt())?,
+    );
+    let clock = Clock::start();
+    let metrics = PrometheusBuilder::new().install_recorder()?;
+    let ring = Arc::new(Mutex::new(Ring::new(&cfg.name, &cfg.zone, RING_EVENTS)));
+    let tls = tls::configs(cfg)?;
+    let traffic = thread::start(cfg, clock)?;
+    let endpoint = peers::bind(cfg, &tls)?;
+    let links = peers::Links::start(cfg, &endpoint, &tls);
+    let (health, ready) = tokio::sync::watch::channel(false);
+    let state = ControlState::new(
+        cfg,
+        clock,
+        Arc::clone(&ring),
+        traffic.commands.clone(),
+        links,
+        health,
+    );
+    let actor = ControlState::spawn(state);
+    tokio::spawn(tick(actor.clone()));
+    tokio::spawn(peers::accept(
+        cfg.peers.clone(),
+        endpoint.clone(),
+        actor.clone(),
+    ));
+    tokio::spawn(platform_watch::run(
+        platform::Client::new(&cfg.platform)?,
+        actor.clone(),
+    ));
+    let commands = traffic.commands.clone();
+    let (reports, thread) = split(traffic);
+    tokio::spawn(forward_reports(reports, actor.clone()));
+    admin::serve(cfg.admin, metrics, ring, ready).await?;
+    tracing::info!(name = cfg.name, zone = cfg.zone, listen = %cfg.listen, "started");
+
+    wait(&mut signals).await;
+    tracing::info!("stopping gracefully");
+    let _ = actor.ask(Leave).await;
+    tokio::select! {
+        () = linger(cfg, &actor) => {}
+        () = wait(&mut signals) => tracing::warn!("stopping at once"),
+    }
+    stop(&commands, thread)?;
+    endpoint.close(0_u32.into(), b"stopped");
+    tracing::info!("stopped");
+    Ok(())
+}
+
+type Reports = tokio::sync::mpsc::Receiver<crate::traffic::Report>;
+type Thread = std::thread::JoinHandle<io::Result<()>>;
+
+fn split(traffic: Handle) -> (Reports, Thread) {
+    (traffic.reports, traffic.thread)
+}
+
+async fn wait(signals: &mut (Signal, Signal)) {
+    tokio::select! {
+        _ = signals.0.recv() => {}
+        _ = signals.1.recv() => {}
+    }
+}
+
+/// Goes on serving until the fabric sends no more packets, within the bound of the settings.
+async fn linger(cfg: &Settings, actor: &ActorRef<ControlState>) {
+    let start = Instant::now();
+    time::sleep(MIN_LINGER.min(cfg.linger)).await;
+    while start.elapsed() < cfg.linger {
+        if actor.ask(IsQuiet).await.unwrap_or(true) {
+            return;
+        }
+        time::sleep(QUIET_CHECK).await;
+    }
+}
+
+fn stop(commands: &mpsc::Sender<Command>, thread: Thread) -> io::Result<()> {
+    let _ = commands.send(Command::Stop);
+    match thread.join() {
+        Ok(result) => result,
+        Err(_panic) => Err(io::Error::other("the traffic thread panicked")),
+    }
+}
+
+async fn tick(actor: ActorRef<ControlState>) {
+    let mut interval = time::interval(TICK);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if actor.tell(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn forward_reports(mut reports: Reports, actor: ActorRef<ControlState>) {
+    while let Some(report) = reports.recv().await {
+        if actor.tell(report).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/ibis-entry/src/control/services.rs
@@ -0,0 +1,55 @@
+//! Turns documents into services as the engine needs them.
+
+use balance::Limits;
+use config::revision::InForce;
+use config::{Document, UpstreamState};
+use flow::service::{Address, Stage, Upstream};
+use flow::{Service, Services};
+use indexmap::IndexMap;
+
+/// The services of all documents in force.
+pub fn services(in_force: &IndexMap<String, InForce>) -> Services {
+    in_force
+        .values()
+        .map(|held| service(&held.document))
+        .map(|s| (s.address, s))
+        .collect()
+}
+
+fn service(document: &Document) -> Service {
+    let upstream = |upstream: &config::Upstream| Upstream {
+        stage: stage(document, upstream),
+        weight: upstream.weight,
+    };
+    Service {
+        name: document.service.clone(),
+        address: Address {
+            protocol: document.protocol,
+            socket: document.address,
+        },
+        upstreams: document
+            .upstreams
+            .iter()
+            .map(|(ip, u)| (*ip, upstream(u)))
+            .collect(),
+        limits: Limits {
+            flows: document.max_flows,
+            cold_flows: document.cold_flows,
+            cold_opens_per_s: document.cold_opens_per_s,
+            ramp: document.cold_ramp,
+        },
+        repeatable: document.repeatable,
+        idle: document.idle,
+        opening: document.opening,
+    }
+}
+
+fn stage(document: &Document, upstream: &config::Upstream) -> Stage {
+    if !document.serves_zone(&upstream.zone) {
+        return Stage::Out;
+    }
+    match upstream.state {
+        UpstreamState::Active => Stage::Active,
+        UpstreamState::Draining => Stage::Draining,
+    }
+}
--- /dev/null
+++ b/crates/ibis-entry/src/peers.rs
@@ -0,0 +1,176 @@
+//! Connections between entries: QUIC with certificates on both sides, one message a stream.
+
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use kameo::actor::ActorRef;
+use quinn::{Connection, Endpoint, Incoming};
+use tokio::sync::mpsc;
+use tokio::time;
+
+use crate::control::actor::{ControlState, FromPeer, PeerRefused};
+use crate::settings::Settings;
+use crate::tls;
+
+/// Messages that wait for a slow or absent peer; more are dropped, as newer ones follow.
+const QUEUE_MESSAGES: usize = 16;
+
+/// Longest wait for a connection or for a message to be taken.
+const SEND_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Wait after a failed connection.
+const RECONNECT_WAIT: Duration = Duration::from_millis(200);
+
+/// Binds the endpoint for both directions; called within a runtime.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub fn bind(cfg: &Settings, tls: &tls::Configs) -> io::Result<Endpoint> {
+    let addr = SocketAddr::from((*cfg.listen.ip(), cfg.control_port));
+    Endpoint::server(tls.server.clone(), addr)
+}
+
+/// The outgoing connections, one for each peer.
+#[derive(Debug)]
+pub struct Links {
+    queues: IndexMap<Ipv4Addr, mpsc::Sender<Vec<u8>>>,
+}
+
+impl Links {
+    /// Starts a link to each peer of the settings.
+    pub fn start(cfg: &Settings, endpoint: &Endpoint, tls: &tls::Configs) -> Self {
+        let own = *cfg.listen.ip();
+        let others = cfg.peers.iter().copied().filter(|ip| *ip != own);
+        let start = |ip: Ipv4Addr| {
+            let (tx, rx) = mpsc::channel(QUEUE_MESSAGES);
+            let to = SocketAddr::from((ip, cfg.control_port));
+            let link = Link {
+                endpoint: endpoint.clone(),
+                client: tls.client.clone(),
+                to,
+            };
+            tokio::spawn(link.run(rx));
+            (ip, tx)
+        };
+        Self {
+            queues: others.map(start).collect(),
+        }
+    }
+
+    /// Sends a message to one peer; dropped if the peer is too slow.
+    pub fn send(&self, to: Ipv4Addr, message: &[u8]) {
+        let Some(queue) = self.queues.get(&to) else {
+            return;
+        };
+        if queue.try_send(message.to_vec()).is_err() {
+            metrics::counter!("ibis_control_dropped_total").increment(1);
+        }
+    }
+
+    /// Sends a message to all peers.
+    pub fn send_all(&self, message: &[u8]) {
+        for to in self.queues.keys() {
+            self.send(*to, message);
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Link {
+    endpoint: Endpoint,
+    client: quinn::ClientConfig,
+    to: SocketAddr,
+}
+
+impl Link {
+    /// Sends each message; a connection that does not take one in time is replaced.
+    async fn run(self, mut queue: mpsc::Receiver<Vec<u8>>) {
+        let mut connection = None;
+        while let Some(message) = queue.recv().await {
+            if connection.is_none() {
+                connection = self.connect().await;
+            }
+            let Some(open) = connection.take() else {
+                time::sleep(RECONNECT_WAIT).await;
+                continue;
+            };
+            let sent = time::timeout(SEND_TIMEOUT, send(&open, &message)).await;
+            if matches!(sent, Ok(Ok(()))) {
+                let bytes = message.len() as u64;
+                metrics::counter!("ibis_control_sent_bytes_total").increment(bytes);
+                connection = Some(open);
+            } else {
+                metrics::counter!("ibis_control_failed_total").increment(1);
+                open.close(0_u32.into(), b"silent");
+            }
+        }
+    }
+
+    async fn connect(&self) -> Option<Connection> {
+        let name = self.to.ip().to_string();
+        let connecting = self
+            .endpoint
+            .connect_with(self.client.clone(), self.to, &name)
+            .ok()?;
+        time::timeout(SEND_TIMEOUT, connecting).await.ok()?.ok()
+    }
+}
+
+/// Sends a message and waits until the peer has acknowledged it.
+async fn send(connection: &Connection, message: &[u8]) -> Result<(), quinn::WriteError> {
+    let mut stream = connection.open_uni().await?;
+    stream.write_all(message).await?;
+    let _ = stream.finish();
+    match stream.stopped().await {
+        Ok(None) => Ok(()),
+        Ok(Some(code)) => Err(quinn::WriteError::Stopped(code)),
+        Err(_lost) => Err(quinn::WriteError::ClosedStream),
+    }
+}
+
+/// Accepts connections of the expected peers until the endpoint is closed.
+pub async fn accept(expected: Vec<Ipv4Addr>, endpoint: Endpoint, actor: ActorRef<ControlState>) {
+    while let Some(incoming) = endpoint.accept().await {
+        let from = incoming.remote_address().ip();
+        match from {
+            IpAddr::V4(ip) if expected.contains(&ip) => {
+                tokio::spawn(receive(ip, incoming, actor.clone()));
+            }
+            _ => {
+                incoming.refuse();
+                refuse(&actor, format!("{from}: not among --peers")).await;
+            }
+        }
+    }
+}
+
+async fn receive(from: Ipv4Addr, incoming: Incoming, actor: ActorRef<ControlState>) {
+    let connection = match incoming.await {
+        Ok(connection) => connection,
+        Err(e) => return refuse(&actor, format!("{from}: {e}")).await,
+    };
+    while let Ok(mut stream) = connection.accept_uni().await {
+        let Ok(bytes) = stream.read_to_end(peer_proto::MAX_CONTROL_BYTES).await else {
+            continue;
+        };
+        match peer_proto::decode_control(&bytes) {
+            Ok(Some(message)) => {
+                if actor.tell(FromPeer { from, message }).await.is_err() {
+                    return;
+                }
+            }
+            Ok(None) => {}
+            Err(_malformed) => {
+                metrics::counter!("ibis_drop_malformed_control_total").increment(1);
+            }
+        }
+    }
+}
+
+async fn refuse(actor: &ActorRef<ControlState>, reason: String) {
+    tracing::debug!(reason, "peer refused");
+    let _ = actor.tell(PeerRefused { reason }).await;
+}
--- /dev/null
+++ b/crates/ibis-entry/src/settings.rs
@@ -0,0 +1,302 @@
+//! The entry's settings.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use flow::key::HashKey;
+use settings::{Problems, Reader, Setting};
+
+use crate::logs::Format;
+
+/// Exit code when a setting is wrong.
+pub const EXIT_BAD_SETTINGS: u8 = 2;
+
+/// Bounds of the number of source ports towards upstreams.
+const SOURCE_PORTS: std::ops::RangeInclusive<u8> = 1..=64;
+
+const NAME: Setting = Setting {
+    flag: "--name",
+    env: "IBIS_NAME",
+    help: "name of this instance in events and logs",
+    default: None,
+};
+const ZONE: Setting = Setting {
+    flag: "--zone",
+    env: "IBIS_ZONE",
+    help: "availability zone of this instance",
+    default: None,
+};
+const LISTEN: Setting = Setting {
+    flag: "--listen",
+    env: "IBIS_LISTEN",
+    help: "address and UDP port for packets from the fabric and upstreams",
+    default: None,
+};
+const PEER_PORT: Setting = Setting {
+    flag: "--peer-port",
+    env: "IBIS_PEER_PORT",
+    help: "UDP port for packets between entries, the same on all",
+    default: Some("7100"),
+};
+const CONTROL_PORT: Setting = Setting {
+    flag: "--control-port",
+    env: "IBIS_CONTROL_PORT",
+    help: "UDP port for control messages between entries, the same on all",
+    default: Some("7101"),
+};
+const ADMIN: Setting = Setting {
+    flag: "--admin",
+    env: "IBIS_ADMIN",
+    help: "address and TCP port for metrics, readiness and events",
+    default: None,
+};
+const PEERS: Setting = Setting {
+    flag: "--peers",
+    env: "IBIS_PEERS",
+    help: "IPv4 addresses of all entries, separated by commas",
+    default: Some(""),
+};
+const FABRIC: Setting = Setting {
+    flag: "--fabric",
+    env: "IBIS_FABRIC",
+    help: "address and UDP port of the fabric; packets from its address are callers'",
+    default: None,
+};
+const UPSTREAM_PORT: Setting = Setting {
+    flag: "--upstream-port",
+    env: "IBIS_UPSTREAM_PORT",
+    help: "UDP port at which upstreams take encapsulated packets",
+    default: Some("5555"),
+};
+const SOURCE_PORT_COUNT: Setting = Setting {
+    flag: "--source-ports",
+    env: "IBIS_SOURCE_PORTS",
+    help: "UDP source ports used towards upstreams (1 to 64)",
+    default: Some("8"),
+};
+const PLATFORM: Setting = Setting {
+    flag: "--platform",
+    env: "IBIS_PLATFORM",
+    help: "URL of the platform's key-value service",
+    default: Some("http://127.0.0.1:2379"),
+};
+const CA: Setting = Setting {
+    flag: "--ca",
+    env: "IBIS_CA",
+    help: "PEM file with the certificate authority of all entries",
+    default: None,
+};
+const CERT: Setting = Setting {
+    flag: "--cert",
+    env: "IBIS_CERT",
+    help: "PEM file with this entry's certificate",
+    default: None,
+};
+const KEY: Setting = Setting {
+    flag: "--key",
+    env: "IBIS_KEY",
+    help: "PEM file with this entry's private key",
+    default: None,
+};
+const HASH_KEY: Setting = Setting {
+    flag: "--hash-key",
+    env: "IBIS_HASH_KEY",
+    help: "key of the flow hash, 32 hex digits, the same on all entries",
+    default: None,
+};
+const MAX_FLOWS: Setting = Setting {
+    flag: "--max-flows",
+    env: "IBIS_MAX_FLOWS",
+    help: "most flows that this entry is the home of",
+    default: Some("500000"),
+};
+const MAX_LEARNED: Setting = Setting {
+    flag: "--max-learned",
+    env: "IBIS_MAX_LEARNED",
+    help: "most flows learned from replies",
+    default: Some("1000000"),
+};
+const PROBES: Setting = Setting {
+    flag: "--probes-per-s",
+    env: "IBIS_PROBES_PER_S",
+    help: "most probe packets a second for flows whose state was lost",
+    default: Some("50000"),
+};
+const RETRY_PERCENT: Setting = Setting {
+    flag: "--retry-percent",
+    env: "IBIS_RETRY_PERCENT",
+    help: "openings in a hundred that may be tried at a second upstream",
+    default: Some("10"),
+};
+const LINGER: Setting = Setting {
+    flag: "--linger-ms",
+    env: "IBIS_LINGER_MS",
+    help: "longest time a graceful stop goes on serving, in milliseconds",
+    default: Some("5000"),
+};
+const LOG_FORMAT: Setting = Setting {
+    flag: "--log-format",
+    env: "IBIS_LOG_FORMAT",
+    help: "format of logs: text or json",
+    default: Some("text"),
+};
+const LOG_FILTER: Setting = Setting {
+    flag: "--log",
+    env: "IBIS_LOG",
+    help: "filter of logs, such as info or ibis_entry=debug",
+    default: Some("info"),
+};
+
+const ALL: [Setting; 22] = [
+    NAME,
+    ZONE,
+    LISTEN,
+    PEER_PORT,
+    CONTROL_PORT,
+    ADMIN,
+    PEERS,
+    FABRIC,
+    UPSTREAM_PORT,
+    SOURCE_PORT_COUNT,
+    PLATFORM,
+    CA,
+    CERT,
+    KEY,
+    HASH_KEY,
+    MAX_FLOWS,
+    MAX_LEARNED,
+    PROBES,
+    RETRY_PERCENT,
+    LINGER,
+    LOG_FORMAT,
+    LOG_FILTER,
+];
+
+/// The checked settings of an entry.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of this instance.
+    pub name: String,
+    /// Availability zone of this instance.
+    pub zone: String,
+    /// Address for packets from the fabric and upstreams; its IP names this entry to others.
+    pub listen: SocketAddrV4,
+    /// Port for packets between entries.
+    pub peer_port: u16,
+    /// Port for control messages between entries.
+    pub control_port: u16,
+    /// Address of the admin port.
+    pub admin: SocketAddr,
+    /// All entries.
+    pub peers: Vec<Ipv4Addr>,
+    /// Address of the fabric.
+    pub fabric: SocketAddrV4,
+    /// Port at which upstreams take encapsulated packets.
+    pub upstream_port: u16,
+    /// Number of source ports towards upstreams.
+    pub source_ports: u8,
+    /// URL of the platform's service.
+    pub platform: String,
+    /// Certificate authority.
+    pub ca: PathBuf,
+    /// Own certificate.
+    pub cert: PathBuf,
+    /// Own private key.
+    pub key: PathBuf,
+    /// Key of the flow hash.
+    pub hash_key: HashKey,
+    /// Most flows that this entry is the home of.
+    pub max_flows: usize,
+    /// Most flows learned from replies.
+    pub max_learned: usize,
+    /// Most probe packets a second.
+    pub probes_per_s: u32,
+    /// Openings in a hundred that may be tried again.
+    pub retry_percent: u32,
+    /// Longest time that a graceful stop goes on serving.
+    pub linger: Duration,
+    /// Format of logs.
+    pub log_format: Format,
+    /// Filter of logs.
+    pub log_filter: String,
+}
+
+impl Settings {
+    /// Reads and checks all settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns everything that is wrong, by setting.
+    pub fn read(mut reader: Reader) -> Result<Self, Problems> {
+        let nowhere = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
+        let hash_key: String = reader.value(&HASH_KEY, String::new());
+        let cfg = Self {
+            name: reader.value(&NAME, String::new()),
+            zone: reader.value(&ZONE, String::new()),
+            listen: reader.value(&LISTEN, nowhere),
+            peer_port: reader.value(&PEER_PORT, 0),
+            control_port: reader.value(&CONTROL_PORT, 0),
+            admin: reader.value(&ADMIN, nowhere.into()),
+            peers: reader.list(&PEERS),
+            fabric: reader.value(&FABRIC, nowhere),
+            upstream_port: reader.value(&UPSTREAM_PORT, 0),
+            source_ports: reader.value(&SOURCE_PORT_COUNT, 1),
+            platform: reader.value(&PLATFORM, String::new()),
+            ca: reader.value(&CA, PathBuf::new()),
+            cert: reader.value(&CERT, PathBuf::new()),
+            key: reader.value(&KEY, PathBuf::new()),
+            hash_key: parse_hash_key(&hash_key).unwrap_or_default(),
+            max_flows: reader.value(&MAX_FLOWS, 1),
+            max_learned: reader.value(&MAX_LEARNED, 1),
+            probes_per_s: reader.value(&PROBES, 0),
+            retry_percent: reader.value(&RETRY_PERCENT, 0),
+            linger: Duration::from_millis(reader.value(&LINGER, 0)),
+            log_format: reader.value(&LOG_FORMAT, Format::Text),
+            log_filter: reader.value(&LOG_FILTER, String::new()),
+        };
+        if !hash_key.is_empty() && parse_hash_key(&hash_key).is_none() {
+            reader.problem(HASH_KEY.flag, "expected 32 hex digits");
+        }
+        cfg.check(&mut reader);
+        reader.finish()?;
+        Ok(cfg)
+    }
+
+    fn check(&self, reader: &mut Reader) {
+        if !SOURCE_PORTS.contains(&self.source_ports) {
+            reader.problem(SOURCE_PORT_COUNT.flag, "expected 1 to 64");
+        }
+        if self.retry_percent > 100 {
+            reader.problem(RETRY_PERCENT.flag, "expected at most 100");
+        }
+        if self.max_flows == 0 {
+            reader.problem(MAX_FLOWS.flag, "expected at least 1");
+        }
+        if self.max_learned == 0 {
+            reader.problem(MAX_LEARNED.flag, "expected at least 1");
+        }
+        if self.peer_port == self.control_port {
+            reader.problem(CONTROL_PORT.flag, "the same as --peer-port");
+        }
+        if platform::Client::check_address(&self.platform).is_err() {
+            reader.problem(PLATFORM.flag, format!("\"{}\" is not a URL", self.platform));
+        }
+        let files = [(CA, &self.ca), (CERT, &self.cert), (KEY, &self.key)];
+        for (setting, path) in files {
+            if !path.as_os_str().is_empty() && !path.is_file() {
+                reader.problem(setting.flag, format!("no file at {}", path.display()));
+            }
+        }
+    }
+}
+
+/// The help text.
+pub fn help() -> String {
+    settings::help("ibis-entry: forwards packets of flows to upstreams", &ALL)
+}
+
+fn parse_hash_key(text: &str) -> Option<HashKey> {
+    let all = u128::from_str_radix(text, 16).ok()?;
+    (text.len() == 32).then_some(HashKey((all >> 64) as u64, all as u64))
+}
--- /dev/null
+++ b/crates/ibis-entry/src/wire.rs
@@ -0,0 +1,120 @@
+//! Turns the engine's messages into datagrams of the inner protocol and back.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use bytes::Bytes;
+use flow::{Id, Key, Message};
+use packet::Protocol;
+use peer_proto::v1;
+use peer_proto::v1::datagram::Kind;
+
+/// IP protocol numbers.
+const TCP: u32 = 6;
+const UDP: u32 = 17;
+
+/// What a datagram of another entry carries.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Incoming {
+    /// A packet of a flow.
+    Relay {
+        /// What the sender says about it.
+        relay: flow::action::Relay,
+        /// The packet.
+        packet: Bytes,
+    },
+    /// A message about a flow.
+    Message(Message),
+}
+
+/// The datagram that relays a packet.
+pub fn relay(packet: &[u8], upstream: Option<Ipv4Addr>, hops: u8) -> Kind {
+    Kind::Relay(v1::Relay {
+        packet: Bytes::copy_from_slice(packet),
+        upstream: upstream.map(Ipv4Addr::to_bits),
+        hops: u32::from(hops),
+    })
+}
+
+/// The datagram of a message.
+pub fn message(message: Message) -> Kind {
+    match message {
+        Message::Ask(key) => Kind::Ask(key_out(key)),
+        Message::Known {
+            key,
+            upstream,
+            opening,
+        } => Kind::Known(v1::Known {
+            key: Some(key_out(key)),
+            upstream: upstream.to_bits(),
+            opening,
+        }),
+        Message::Unknown(key) => Kind::Unknown(key_out(key)),
+        Message::Forget { key, upstream } => Kind::Forget(v1::Forget {
+            key: Some(key_out(key)),
+            upstream: upstream.to_bits(),
+        }),
+    }
+}
+
+/// Reads a datagram from the entry `from`; `None` if it is malformed or of an unknown kind.
+pub fn incoming(from: Id, bytes: Bytes) -> Option<Incoming> {
+    let message = match peer_proto::decode_datagram(bytes).ok()?? {
+        Kind::Relay(relay) => return relay_in(from, relay),
+        Kind::Ask(key) => Message::Ask(key_in(&key)?),
+        Kind::Known(known) => Message::Known {
+            key: key_in(&known.key?)?,
+            upstream: Ipv4Addr::from_bits(known.upstream),
+            opening: known.opening,
+        },
+        Kind::Unknown(key) => Message::Unknown(key_in(&key)?),
+        Kind::Forget(forget) => Message::Forget {
+            key: key_in(&forget.key?)?,
+            upstream: Ipv4Addr::from_bits(forget.upstream),
+        },
+    };
+    Some(Incoming::Message(message))
+}
+
+fn relay_in(from: Id, relay: v1::Relay) -> Option<Incoming> {
+    let upstream = relay.upstream.map(Ipv4Addr::from_bits);
+    let hops = u8::try_from(relay.hops).ok()?;
+    let packet = relay.packet;
+    Some(Incoming::Relay {
+        relay: flow::action::Relay {
+            from,
+            upstream,
+            hops,
+        },
+        packet,
+    })
+}
+
+fn key_out(key: Key) -> v1::FlowKey {
+    v1::FlowKey {
+        caller_ip: key.caller_ip.to_bits(),
+        service_ip: key.service_ip.to_bits(),
+        caller_port: u32::from(key.caller_port),
+        service_port: u32::from(key.service_port),
+        protocol: match key.protocol {
+            Protocol::Tcp => TCP,
+            Protocol::Udp => UDP,
+        },
+    }
+}
+
+fn key_in(key: &v1::FlowKey) -> Option<Key> {
+    let protocol = match key.protocol {
+        TCP => Protocol::Tcp,
+        UDP => Protocol::Udp,
+        _ => return None,
+    };
+    let socket = |ip: u32, port: u32| {
+        Some(SocketAddrV4::new(
+            Ipv4Addr::from_bits(ip),
+            u16::try_from(port).ok()?,
+        ))
+    };
+    let caller = socket(key.caller_ip, key.caller_port)?;
+    let service = socket(key.service_ip, key.service_port)?;
+    Some(Key::new(protocol, caller, service))
+}
--- /dev/null
+++ b/crates/ibis-timeline/src/main.rs
@@ -0,0 +1,3 @@
+//! Merges the events of all processes into one time line.
+
+fn main() {}
--- /dev/null
+++ b/crates/ibisctl/src/commands.rs
@@ -0,0 +1,70 @@
+//! The commands. Each returns what is to be printed.
+
+use std::fmt::Write;
+
+use config::Document;
+use platform::{Client, keys};
+
+use crate::error::Error;
+
+/// Checks a document offline.
+pub fn check(file: &str) -> Result<String, Error> {
+    let (_, document) = read(file)?;
+    Ok(format!(
+        "{file}: valid document of service {} with {} upstreams\n",
+        document.service,
+        document.upstreams.len()
+    ))
+}
+
+/// Brings a document into force.
+pub async fn put(client: &Client, file: &str) -> Result<String, Error> {
+    let (text, document) = read(file)?;
+    let key = keys::service(&document.service);
+    let before = client.snapshot(&key).await?;
+    let read_revision = before
+        .values
+        .iter()
+        .find(|kv| kv.key == key)
+        .map_or(0, |kv| kv.revision);
+    let written = client
+        .put_if(&key, read_revision, text.into_bytes())
+        .await?;
+    let revision = written.ok_or_else(|| Error::LostRace(document.service.clone()))?;
+    Ok(format!(
+        "{}: accepted as revision {revision}\n",
+        document.service
+    ))
+}
+
+/// Prints the document in force.
+pub async fn get(client: &Client, service: &str) -> Result<String, Error> {
+    let key = keys::service(service);
+    let snapshot = client.snapshot(&key).await?;
+    let stored = snapshot.values.into_iter().find(|kv| kv.key == key);
+    let stored = stored.ok_or_else(|| Error::NoService(service.to_owned()))?;
+    Ok(String::from_utf8_lossy(&stored.value).into_owned())
+}
+
+/// Lists all services.
+pub async fn list(client: &Client) -> Result<String, Error> {
+    let snapshot = client.snapshot(keys::SERVICES).await?;
+    let mut text = String::new();
+    for kv in &snapshot.values {
+        let service = kv.key.strip_prefix(keys::SERVICES).unwrap_or(&kv.key);
+        let _ = writeln!(text, "{service}  revision {}", kv.revision);
+    }
+    Ok(text)
+}
+
+fn read(file: &str) -> Result<(String, Document), Error> {
+    let text = std::fs::read_to_string(file).map_err(|source| Error::File {
+        file: file.to_owned(),
+        source,
+    })?;
+    let document = Document::parse(&text).map_err(|problems| Error::Invalid {
+        file: file.to_owned(),
+        problems,
+    })?;
+    Ok((text, document))
+}
--- /dev/null
+++ b/crates/ibisctl/src/main.rs
@@ -0,0 +1,61 @@
+//! The operators' command line.
+
+mod commands;
+mod error;
+
+use std::process::ExitCode;
+
+use error::Error;
+use settings::{Reader, Setting};
+
+const PLATFORM: Setting = Setting {
+    flag: "--platform",
+    env: "IBIS_PLATFORM",
+    help: "URL of the platform's key-value service",
+    default: Some("http://127.0.0.1:2379"),
+};
+
+const HELP: &str = "\
+Usage: ibisctl COMMAND [SETTINGS]
+
+Commands:
+  check FILE     check a document without sending it
+  put FILE       bring a document into force
+  get SERVICE    print the document in force
+  list           list all services
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 not a valid document, 4 another operator was faster,
+5 the platform's service did not answer.
+";
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("ibisctl: {e}");
+            ExitCode::from(e.exit_code())
+        }
+    }
+}
+
+async fn run() -> Result<String, Error> {
+    let mut reader = Reader::from_process();
+    if reader.wants_help() {
+        return Ok(settings::help(HELP, &[PLATFORM]));
+    }
+    let command = reader.word().ok_or_else(|| Error::Usage(HELP.to_owned()))?;
+    let platform = reader.value(&PLATFORM, String::new());
+    let word = reader.word();
+    reader.finish().map_err(|e| Error::Usage(e.to_string()))?;
+    match (command.as_str(), word) {
+        ("check", Some(file)) => commands::check(&file),
+        ("put", Some(file)) => commands::put(&platform::Client::new(&platform)?, &file).await,
+        ("get", Some(service)) => commands::get(&platform::Client::new(&platform)?, &service).await,
+        ("list", None) => commands::list(&platform::Client::new(&platform)?).await,
+        _ => Err(Error::Usage(HELP.to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/packet/src/view.rs
@@ -0,0 +1,262 @@
+//! Reading a packet without copying it.
+
+use std::net::SocketAddrV4;
+
+use etherparse::{IpNumber, Ipv4HeaderSlice, TcpHeaderSlice, UdpHeaderSlice};
+
+/// Largest inner packet that is taken, in bytes.
+pub const MAX_PACKET_BYTES: usize = 9_000;
+
+/// Bytes of the transport header that an ICMP error has to quote: the two ports.
+const QUOTED_PORT_BYTES: usize = 4;
+
+/// Length of the ICMP header in bytes.
+const ICMP_HEADER_BYTES: usize = 8;
+
+/// ICMP types that report an error about another packet: unreachable, time exceeded, parameter.
+const ICMP_ERROR_TYPES: [u8; 3] = [3, 11, 12];
+
+/// Fewest words in an IPv4 header, and its version in the upper half of the first byte.
+const IPV4_VERSION: u8 = 4;
+
+/// The transport protocols that are balanced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Protocol {
+    /// Transmission Control Protocol.
+    Tcp,
+    /// User Datagram Protocol.
+    Udp,
+}
+
+stdx::value! {
+    /// The TCP flags that decisions depend on.
+    #[derive(Default)]
+    #[expect(clippy::struct_excessive_bools, reason = "each is a flag of the header")]
+    pub struct TcpFlags {
+        /// Opens a connection.
+        pub syn: bool,
+        /// The acknowledgement number counts.
+        pub ack: bool,
+        /// The sender has no more data.
+        pub fin: bool,
+        /// The connection is to be dropped.
+        pub rst: bool,
+    }
+
+    /// What the transport header of a packet says.
+    pub enum Transport {
+        /// A TCP segment.
+        Tcp {
+            /// Sequence number.
+            seq: u32,
+            /// Acknowledgement number.
+            ack: u32,
+            /// Flags.
+            flags: TcpFlags,
+            /// Payload length in bytes.
+            payload: u16,
+        },
+        /// A UDP datagram.
+        Udp {
+            /// Payload length in bytes.
+            payload: u16,
+        },
+        /// An ICMP error; the addresses of the view are those of the flow it belongs to.
+        IcmpError {
+            /// The protocol of the quoted packet.
+            quoted: Protocol,
+        },
+    }
+
+    /// Why a packet was not taken.
+    #[derive(derive_more::Display, derive_more::Error)]
+    pub enum Malformed {
+        /// The packet ends before its headers or its stated length do.
+        #[display("truncated")]
+        Truncated,
+        /// The packet is longer than [`MAX_PACKET_BYTES`].
+        #[display("oversize")]
+        Oversize,
+        /// Not IPv4.
+        #[display("not_ipv4")]
+        NotIpv4,
+        /// The IP header contradicts itself or its checksum is wrong.
+        #[display("bad_ip_header")]
+        BadIpHeader,
+        /// The transport header contradicts itself.
+        #[display("bad_transport_header")]
+        BadTransportHeader,
+        /// A fragment; flows can't be told from it.
+        #[display("fragment")]
+        Fragment,
+        /// Neither TCP, UDP nor an ICMP error about one of them.
+        #[display("unsupported_protocol")]
+        UnsupportedProtocol,
+    }
+}
+
+/// A checked packet: the borrowed bytes and the fields that decisions need.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The whole inner IP packet, without trailing padding.
+    pub bytes: &'a [u8],
+    /// Sender of the flow's packet.
+    pub src: SocketAddrV4,
+    /// Receiver of the flow's packet.
+    pub dst: SocketAddrV4,
+    /// The transport header.
+    pub transport: Transport,
+}
+
+impl<'a> View<'a> {
+    /// Reads a packet.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the packet is not taken.
+    pub fn parse(bytes: &'a [u8]) -> Result<Self, Malformed> {
+        let ip = parse_ip(bytes)?;
+        let bytes = &bytes[..usize::from(ip.total_len())];
+        let body = &bytes[ip.slice().len()..];
+        match ip.protocol() {
+            IpNumber::TCP => parse_tcp(bytes, &ip, body),
+            IpNumber::UDP => parse_udp(bytes, &ip, body),
+            IpNumber::ICMP => parse_icmp(bytes, body),
+            _ => Err(Malformed::UnsupportedProtocol),
+        }
+    }
+
+    /// The protocol of the flow that the packet belongs to.
+    pub fn protocol(&self) -> Protocol {
+        match self.transport {
+            Transport::Tcp { .. } => Protocol::Tcp,
+            Transport::Udp { .. } => Protocol::Udp,
+            Transport::IcmpError { quoted } => quoted,
+        }
+    }
+
+    /// The TCP flags; none are set for other protocols.
+    pub fn flags(&self) -> TcpFlags {
+        match self.transport {
+            Transport::Tcp { flags, .. } => flags,
+            Transport::Udp { .. } | Transport::IcmpError { .. } => TcpFlags::default(),
+        }
+    }
+
+    /// Whether the packet opens a TCP connection.
+    pub fn is_opening(&self) -> bool {
+        let flags = self.flags();
+        flags.syn && !flags.ack
+    }
+
+    /// Length of the transport payload in bytes.
+    pub fn payload_len(&self) -> u16 {
+        match self.transport {
+            Transport::Tcp { payload, .. } | Transport::Udp { payload } => payload,
+            Transport::IcmpError { .. } => 0,
+        }
+    }
+}
+
+fn parse_ip(bytes: &[u8]) -> Result<Ipv4HeaderSlice<'_>, Malformed> {
+    if bytes.len() > MAX_PACKET_BYTES {
+        return Err(Malformed::Oversize);
+    }
+    let first = *bytes.first().ok_or(Malformed::Truncated)?;
+    if first >> 4 != IPV4_VERSION {
+        return Err(Malformed::NotIpv4);
+    }
+    let ip = Ipv4HeaderSlice::from_slice(bytes).map_err(|e| match e {
+        etherparse::err::ipv4::HeaderSliceError::Len(_) => Malformed::Truncated,
+        etherparse::err::ipv4::HeaderSliceError::Content(_) => Malformed::BadIpHeader,
+    })?;
+    if usize::from(ip.total_len()) > bytes.len() {
+        return Err(Malformed::Truncated);
+    }
+    if usize::from(ip.total_len()) < ip.slice().len() {
+        return Err(Malformed::BadIpHeader);
+    }
+    if ip.header_checksum() != ip.to_header().calc_header_checksum() {
+        return Err(Malformed::BadIpHeader);
+    }
+    if ip.is_fragmenting_payload() {
+        return Err(Malformed::Fragment);
+    }
+    Ok(ip)
+}
+
+fn parse_tcp<'a>(
+    bytes: &'a [u8],
+    ip: &Ipv4HeaderSlice<'_>,
+    body: &[u8],
+) -> Result<View<'a>, Malformed> {
+    let tcp = TcpHeaderSlice::from_slice(body).map_err(|e| match e {
+        etherparse::err::tcp::HeaderSliceError::Len(_) => Malformed::Truncated,
+        etherparse::err::tcp::HeaderSliceError::Content(_) => Malformed::BadTransportHeader,
+    })?;
+    let flags = TcpFlags {
+        syn: tcp.syn(),
+        ack: tcp.ack(),
+        fin: tcp.fin(),
+        rst: tcp.rst(),
+    };
+    if flags.syn && (flags.fin || flags.rst) {
+        return Err(Malformed::BadTransportHeader);
+    }
+    let payload = (body.len() - tcp.slice().len()) as u16;
+    Ok(View {
+        bytes,
+        src: SocketAddrV4::new(ip.source_addr(), tcp.source_port()),
+        dst: SocketAddrV4::new(ip.destination_addr(), tcp.destination_port()),
+        transport: Transport::Tcp {
+            seq: tcp.sequence_number(),
+            ack: tcp.acknowledgment_number(),
+            flags,
+            payload,
+        },
+    })
+}
+
+fn parse_udp<'a>(
+    bytes: &'a [u8],
+    ip: &Ipv4HeaderSlice<'_>,
+    body: &[u8],
+) -> Result<View<'a>, Malformed> {
+    let udp = UdpHeaderSlice::from_slice(body).map_err(|_len| Malformed::Truncated)?;
+    if usize::from(udp.length()) != body.len() {
+        return Err(Malformed::BadTransportHeader);
+    }
+    let payload = (body.len() - udp.slice().len()) as u16;
+    Ok(View {
+        bytes,
+        src: SocketAddrV4::new(ip.source_addr(), udp.source_port()),
+        dst: SocketAddrV4::new(ip.destination_addr(), udp.destination_port()),
+        transport: Transport::Udp { payload },
+    })
+}
+
+/// Reads an ICMP error. It travels against the packet it quotes, so the addresses are swapped.
+fn parse_icmp<'a>(bytes: &'a [u8], body: &[u8]) -> Result<View<'a>, Malformed> {
+    let kind = *body.first().ok_or(Malformed::Truncated)?;
+    if !ICMP_ERROR_TYPES.contains(&kind) {
+        return Err(Malformed::UnsupportedProtocol);
+    }
+    let quote = body.get(ICMP_HEADER_BYTES..).ok_or(Malformed::Truncated)?;
+    let ip = Ipv4HeaderSlice::from_slice(quote).map_err(|_err| Malformed::BadTransportHeader)?;
+    let ports = quote
+        .get(ip.slice().len()..ip.slice().len() + QUOTED_PORT_BYTES)
+        .ok_or(Malformed::Truncated)?;
+    let quoted = match ip.protocol() {
+        IpNumber::TCP => Protocol::Tcp,
+        IpNumber::UDP => Protocol::Udp,
+        _ => return Err(Malformed::UnsupportedProtocol),
+    };
+    let src_port = u16::from_be_bytes([ports[0], ports[1]]);
+    let dst_port = u16::from_be_bytes([ports[2], ports[3]]);
+    Ok(View {
+        bytes,
+        src: SocketAddrV4::new(ip.destination_addr(), dst_port),
+        dst: SocketAddrV4::new(ip.source_addr(), src_port),
+        transport: Transport::IcmpError { quoted },
+    })
+}
--- /dev/null
+++ b/crates/peer-proto/src/lib.rs
@@ -0,0 +1,55 @@
+//! The inner protocol: what entries send to each other over UDP and QUIC.
+//!
+//! The types are generated from `proto/peer.proto` by `cargo xtask codegen`. What the messages mean
+//! is decided in the pure crates; this one only encodes and decodes.
+
+use bytes::Bytes;
+use prost::Message;
+
+#[rustfmt::skip]
+#[path = "generated/ibisshift.peer.v1.rs"]
+#[allow(missing_docs, clippy::all, clippy::pedantic, clippy::restriction, reason = "generated")]
+pub mod v1;
+
+/// Longest control message that is read, in bytes.
+pub const MAX_CONTROL_BYTES: usize = 4 * 1024 * 1024;
+
+/// A message that can't be read.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[display("malformed peer message: {_0}")]
+pub struct Malformed(prost::DecodeError);
+
+/// Appends an encoded datagram to `buf`.
+pub fn encode_datagram(kind: v1::datagram::Kind, buf: &mut Vec<u8>) {
+    encode(&v1::Datagram { kind: Some(kind) }, buf);
+}
+
+/// Reads a datagram; `None` for a kind that this version does not know.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not a datagram.
+pub fn decode_datagram(bytes: Bytes) -> Result<Option<v1::datagram::Kind>, Malformed> {
+    Ok(v1::Datagram::decode(bytes)?.kind)
+}
+
+/// The bytes of a control message.
+pub fn encode_control(kind: v1::control::Kind) -> Vec<u8> {
+    v1::Control { kind: Some(kind) }.encode_to_vec()
+}
+
+/// Reads a control message; `None` for a kind that this version does not know.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not a control message.
+pub fn decode_control(bytes: &[u8]) -> Result<Option<v1::control::Kind>, Malformed> {
+    Ok(v1::Control::decode(bytes)?.kind)
+}
+
+/// Appends an encoded message; a `Vec` grows as needed, so that encoding can't fail.
+fn encode(message: &impl Message, buf: &mut Vec<u8>) {
+    buf.reserve(message.encoded_len());
+    let result = message.encode(buf);
+    debug_assert!(result.is_ok());
+}
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,270 @@
+//! Reads, writes and watches with time limits.
+
+use std::time::Duration;
+
+use tokio::time;
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::Streaming;
+use tonic::transport::{Channel, Endpoint};
+
+use crate::generated::etcdserverpb::kv_client::KvClient;
+use crate::generated::etcdserverpb::watch_client::WatchClient;
+use crate::generated::etcdserverpb::{self as rpc, compare, request_op, watch_request};
+use crate::generated::mvccpb;
+use crate::keys;
+
+/// Longest wait for one answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between the connection's own liveness checks.
+const KEEP_ALIVE: Duration = Duration::from_secs(2);
+
+/// Largest answer in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Why a call failed.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+pub enum Error {
+    /// The address is not a URL.
+    #[display("\"{_0}\" is not the address of a key-value service")]
+    Address(#[error(not(source))] String),
+    /// The service could not be reached or did not answer; whether a write took effect is unknown.
+    #[display("the platform's service did not answer: {_0}")]
+    Unavailable(#[error(not(source))] String),
+    /// The service refused the call.
+    #[display("the platform's service refused the call: {_0}")]
+    Refused(#[error(not(source))] String),
+}
+
+impl From<tonic::Status> for Error {
+    fn from(status: tonic::Status) -> Self {
+        match status.code() {
+            tonic::Code::InvalidArgument
+            | tonic::Code::FailedPrecondition
+            | tonic::Code::OutOfRange
+            | tonic::Code::PermissionDenied => Self::Refused(status.message().to_owned()),
+            _ => Self::Unavailable(status.message().to_owned()),
+        }
+    }
+}
+
+stdx::record! {
+    /// A stored value.
+    pub struct KeyValue {
+        /// Its key.
+        pub key: String,
+        /// Its value.
+        pub value: Vec<u8>,
+        /// Revision of its last write.
+        pub revision: u64,
+    }
+
+    /// All values of a prefix at one revision.
+    pub struct Snapshot {
+        /// The revision of the store.
+        pub revision: u64,
+        /// The values.
+        pub values: Vec<KeyValue>,
+    }
+
+    /// A change that a watch reports.
+    pub enum Event {
+        /// A value was written.
+        Put(KeyValue),
+        /// A key was deleted at a revision.
+        Deleted {
+            /// The key.
+            key: String,
+            /// The revision.
+            revision: u64,
+        },
+    }
+}
+
+/// A connection to the service; cloning it shares the connection.
+#[derive(Debug, Clone)]
+pub struct Client {
+    channel: Channel,
+}
+
+/// A running watch.
+#[derive(Debug)]
+pub struct Watch {
+    answers: Streaming<rpc::WatchResponse>,
+    _requests: tokio::sync::mpsc::Sender<rpc::WatchRequest>,
+}
+
+impl Client {
+    /// Checks the address of a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address is not a URL.
+    pub fn check_address(address: &str) -> Result<(), Error> {
+        endpoint(address).map(|_| ())
+    }
+
+    /// A client of the service at `address`, such as `http://127.0.0.1:2379`. It connects when
+    /// first used, and again after a failure.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address is not a URL.
+    pub fn new(address: &str) -> Result<Self, Error> {
+        let endpoint = endpoint(address)?
+            .connect_timeout(CONNECT_TIMEOUT)
+            .http2_keep_alive_interval(KEEP_ALIVE)
+            .keep_alive_timeout(KEEP_ALIVE)
+            .keep_alive_while_idle(true);
+        Ok(Self {
+            channel: endpoint.connect_lazy(),
+        })
+    }
+
+    /// Reads all values whose keys start with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service does not answer in time.
+    pub async fn snapshot(&self, prefix: &str) -> Result<Snapshot, Error> {
+        let req = rpc::RangeRequest {
+            key: prefix.into(),
+            range_end: keys::range_end(prefix),
+            ..Default::default()
+        };
+        let answer = limited(self.kv().range(req)).await?;
+        let revision = answer.header.map_or(0, |header| header.revision as u64);
+        Ok(Snapshot {
+            revision,
+            values: answer.kvs.into_iter().map(KeyValue::from).collect(),
+        })
+    }
+
+    /// Writes a value if its key still has the revision that was read; `0` for a new key.
+    ///
+    /// Returns the revision of the write, or `None` if the key has changed since.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service does not answer in time; the write may have taken effect.
+    pub async fn put_if(
+        &self,
+        key: &str,
+        read_revision: u64,
+        value: Vec<u8>,
+    ) -> Result<Option<u64>, Error> {
+        let condition = rpc::Compare {
+            result: compare::CompareResult::Equal.into(),
+            target: compare::CompareTarget::Mod.into(),
+            key: key.into(),
+            target_union: Some(compare::TargetUnion::ModRevision(
+                read_revision.cast_signed(),
+            )),
+        };
+        let put = rpc::PutRequest {
+            key: key.into(),
+            value,
+            ..Default::default()
+        };
+        let req = rpc::TxnRequest {
+            compare: vec![condition],
+            success: vec![rpc::RequestOp {
+                request: Some(request_op::Request::RequestPut(put)),
+            }],
+            failure: Vec::new(),
+        };
+        let answer = limited(self.kv().txn(req)).await?;
+        let revision = answer.header.map_or(0, |header| header.revision as u64);
+        Ok(answer.succeeded.then_some(revision))
+    }
+
+    /// Watches all keys that start with `prefix`, from `revision` on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service does not answer in time.
+    pub async fn watch(&self, prefix: &str, revision: u64) -> Result<Watch, Error> {
+        let create = rpc::WatchCreateRequest {
+            key: prefix.into(),
+            range_end: keys::range_end(prefix),
+            start_revision: revision.cast_signed(),
+            progress_notify: true,
+            ..Default::default()
+        };
+        let req = rpc::WatchRequest {
+            request_union: Some(watch_request::RequestUnion::CreateRequest(create)),
+        };
+        let (tx, rx) = tokio::sync::mpsc::channel(1);
+        let _ = tx.send(req).await;
+        let mut client =
+            WatchClient::new(self.channel.clone()).max_decoding_message_size(MAX_ANSWER_BYTES);
+        let answers = limited(client.watch(ReceiverStream::new(rx))).await?;
+        Ok(Watch {
+            answers,
+            _requests: tx,
+        })
+    }
+
+    fn kv(&self) -> KvClient<Channel> {
+        KvClient::new(self.channel.clone()).max_decoding_message_size(MAX_ANSWER_BYTES)
+    }
+}
+
+impl Watch {
+    /// Waits for the next changes; an empty list is a sign of life.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the watch has ended; the caller then reads everything again.
+    pub async fn next(&mut self) -> Result<Vec<Event>, Error> {
+        let answer = match self.answers.next().await {
+            Some(answer) => answer?,
+            None => return Err(Error::Unavailable("the watch has ended".to_owned())),
+        };
+        if answer.canceled {
+            return Err(Error::Unavailable(answer.cancel_reason));
+        }
+        Ok(answer.events.into_iter().filter_map(event).collect())
+    }
+}
+
+impl From<mvccpb::KeyValue> for KeyValue {
+    fn from(kv: mvccpb::KeyValue) -> Self {
+        Self {
+            key: String::from_utf8_lossy(&kv.key).into_owned(),
+            value: kv.value,
+            revision: kv.mod_revision as u64,
+        }
+    }
+}
+
+fn endpoint(address: &str) -> Result<Endpoint, Error> {
+    Endpoint::from_shared(address.to_owned()).map_err(|_invalid| Error::Address(address.to_owned()))
+}
+
+fn event(raw: mvccpb::Event) -> Option<Event> {
+    let kind = raw.r#type();
+    let kv = KeyValue::from(raw.kv?);
+    Some(match kind {
+        mvccpb::event::EventType::Put => Event::Put(kv),
+        mvccpb::event::EventType::Delete => Event::Deleted {
+            key: kv.key,
+            revision: kv.revision,
+        },
+    })
+}
+
+async fn limited<T>(
+    call: impl Future<Output = Result<tonic::Response<T>, tonic::Status>>,
+) -> Result<T, Error> {
+    match time::timeout(CALL_TIMEOUT, call).await {
+        Ok(answer) => Ok(answer?.into_inner()),
+        Err(_elapsed) => Err(Error::Unavailable(format!(
+            "no answer within {CALL_TIMEOUT:?}"
+        ))),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/keys.rs
@@ -0,0 +1,24 @@
+//! The keys that ibisshift uses.
+
+/// Prefix of the service documents.
+pub const SERVICES: &str = "/ibisshift/services/";
+
+/// Prefix of the list of instances.
+pub const INSTANCES: &str = "/ibisshift/instances/";
+
+/// The key of a service's document.
+pub fn service(name: &str) -> String {
+    format!("{SERVICES}{name}")
+}
+
+/// The end of the range of all keys with a prefix.
+pub fn range_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    vec![0]
+}
--- /dev/null
+++ b/crates/standins/src/answer.rs
@@ -0,0 +1,99 @@
+//! The requests and answers that callers and upstreams exchange.
+//!
+//! An answer names its request and its upstream, and its body follows from the request, so that a
+//! caller can tell a wrong, short or foreign answer.
+
+use std::net::Ipv4Addr;
+
+/// Length of a request in bytes.
+pub const REQUEST_BYTES: usize = 20;
+
+/// Length of an answer's head in bytes.
+pub const HEAD_BYTES: usize = 24;
+
+/// First bytes of each request and answer.
+const MAGIC: u32 = 0x1b15_5f07;
+
+/// Largest answer body in bytes.
+pub const MAX_BODY_BYTES: u32 = 64 * 1024;
+
+stdx::value! {
+    /// A request.
+    pub struct Request {
+        /// Unique among all requests of all callers.
+        pub id: u64,
+        /// Hash of the service it is for.
+        pub service: u32,
+        /// Length of the body of its answer in bytes.
+        pub body: u32,
+    }
+
+    /// The head of an answer.
+    pub struct Head {
+        /// The request.
+        pub request: Request,
+        /// The upstream that ran it.
+        pub upstream: Ipv4Addr,
+    }
+}
+
+impl Request {
+    /// The request's bytes.
+    pub fn encode(&self) -> [u8; REQUEST_BYTES] {
+        let mut buf = [0; REQUEST_BYTES];
+        buf[..4].copy_from_slice(&MAGIC.to_be_bytes());
+        buf[4..12].copy_from_slice(&self.id.to_be_bytes());
+        buf[12..16].copy_from_slice(&self.service.to_be_bytes());
+        buf[16..].copy_from_slice(&self.body.to_be_bytes());
+        buf
+    }
+
+    /// Reads a request; `None` if the bytes are not one.
+    pub fn decode(buf: &[u8; REQUEST_BYTES]) -> Option<Self> {
+        let word = |at: usize| u32::from_be_bytes([buf[at], buf[at + 1], buf[at + 2], buf[at + 3]]);
+        if word(0) != MAGIC || word(16) > MAX_BODY_BYTES {
+            return None;
+        }
+        let id = u64::from(word(4)) << 32 | u64::from(word(8));
+        Some(Self {
+            id,
+            service: word(12),
+            body: word(16),
+        })
+    }
+
+    /// The byte at a place in the answer's body.
+    pub fn body_byte(&self, at: u32) -> u8 {
+        (self.id as u8).wrapping_mul(31).wrapping_add(at as u8)
+    }
+}
+
+impl Head {
+    /// The whole answer.
+    pub fn encode_answer(&self) -> Vec<u8> {
+        let mut buf = Vec::with_capacity(HEAD_BYTES + self.request.body as usize);
+        buf.extend_from_slice(&self.request.encode());
+        buf.extend_from_slice(&self.upstream.octets());
+        buf.extend((0..self.request.body).map(|at| self.request.body_byte(at)));
+        buf
+    }
+
+    /// Reads an answer's head; `None` if the bytes are not one.
+    pub fn decode(buf: &[u8]) -> Option<Self> {
+        let request = Request::decode(buf.get(..REQUEST_BYTES)?.try_into().ok()?)?;
+        let ip: [u8; 4] = buf.get(REQUEST_BYTES..HEAD_BYTES)?.try_into().ok()?;
+        Some(Self {
+            request,
+            upstream: Ipv4Addr::from(ip),
+        })
+    }
+}
+
+/// The number that requests name a service by.
+pub fn service_hash(address: std::net::SocketAddrV4) -> u32 {
+    address
+        .ip()
+        .to_bits()
+        .wrapping_mul(31)
+        .wrapping_add(u32::from(address.port()))
+}
--- /dev/null
+++ b/crates/standins/src/callers.rs
@@ -0,0 +1,498 @@
+//! Stand-in for callers: many hosts with long and short sessions, each answer checked.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use packet::View;
+use smoltcp::iface::SocketHandle;
+use smoltcp::socket::tcp::State;
+use tokio::net::UdpSocket;
+
+use crate::answer::{HEAD_BYTES, Head, Request, service_hash};
+use crate::fabric;
+use crate::host::Host;
+
+/// Sizes of a connection's buffers in bytes.
+const RX_BYTES: usize = 4_096;
+const TX_BYTES: usize = 256;
+
+/// Time between looks at all hosts.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Time without an answer after which a session counts as broken.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Time without an answer after which an opening counts as unanswered.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Wait before a refused opening is tried again.
+const RETRY_WAIT: Duration = Duration::from_millis(500);
+
+/// First local port of a host.
+const FIRST_PORT: u16 = 1_024;
+
+/// Largest answer time that is told apart, in microseconds.
+const MAX_ANSWER_US: u64 = 60_000_000;
+
+/// The settings of the callers.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Where packets are received.
+    pub listen: SocketAddr,
+    /// Where packets are sent.
+    pub fabric: SocketAddr,
+    /// The service that is called.
+    pub service: SocketAddrV4,
+    /// Address of the first host.
+    pub first_host: Ipv4Addr,
+    /// Hosts.
+    pub hosts: u32,
+    /// Sessions of each host.
+    pub sessions: u32,
+    /// Mean time between two requests of a session.
+    pub think: Duration,
+    /// Sessions in a hundred that send one request at their start and then stay silent.
+    pub idle_percent: u32,
+    /// Requests after which a session is closed and opened again; none for sessions that stay.
+    pub requests: Option<u32>,
+    /// Length of an answer's body in bytes.
+    pub body: u32,
+    /// Time over which the sessions are opened.
+    pub ramp: Duration,
+}
+
+/// What has happened so far.
+#[derive(Debug)]
+pub struct Stats {
+    /// Sessions that were opened.
+    pub opened: u64,
+    /// Openings that were refused.
+    pub refused: u64,
+    /// Openings that got no answer.
+    pub unanswered: u64,
+    /// Answers that were right.
+    pub ok: u64,
+    /// Answers that were wrong.
+    pub wrong: u64,
+    /// Broken sessions by the upstream that held them.
+    pub broken: IndexMap<Ipv4Addr, u64>,
+    /// Sessions open now.
+    pub open: u64,
+    /// Answer times in microseconds.
+    pub answer_us: Histogram<u64>,
+}
+
+/// The running callers.
+#[derive(Debug)]
+pub struct Callers {
+    cfg: Settings,
+    socket: UdpSocket,
+    hosts: Vec<CallerHost>,
+    stats: Stats,
+    start: Instant,
+    next_id: u64,
+    closing: bool,
+    rng: fastrand::Rng,
+}
+
+#[derive(Debug)]
+struct CallerHost {
+    host: Host,
+    sessions: Vec<Session>,
+    next_port: u16,
+}
+
+#[derive(Debug)]
+struct Session {
+    phase: Phase,
+    idle: bool,
+    answered: u32,
+    upstream: Option<Ipv4Addr>,
+}
+
+#[derive(Debug)]
+enum Phase {
+    /// No connection until a time.
+    Absent { until: Instant },
+    /// Connecting.
+    Opening {
+        handle: SocketHandle,
+        since: Instant,
+    },
+    /// Connected; the next request is due at a time.
+    Thinking {
+        handle: SocketHandle,
+        until: Instant,
+    },
+    /// Waiting for an answer.
+    Waiting {
+        handle: SocketHandle,
+        request: Request,
+        since: Instant,
+        got: Vec<u8>,
+    },
+    /// Closing.
+    Closing {
+        handle: SocketHandle,
+        since: Instant,
+    },
+}
+
+impl Callers {
+    /// Binds the port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the port can't be bound.
+    pub fn start(cfg: Settings) -> io::Result<Self> {
+        let start = Instant::now();
+        let mut rng = fastrand::Rng::with_seed(u64::from(cfg.first_host.to_bits()));
+        let mut host = |index: u32| {
+            let ip = Ipv4Addr::from_bits(cfg.first_host.to_bits() + index);
+            let sessions = (0..cfg.sessions)
+                .map(|_| Session {
+                    phase: Phase::Absent {
+                        until: start + cfg.ramp.mul_f64(rng.f64()),
+                    },
+                    idle: rng.u32(..100) < cfg.idle_percent,
+                    answered: 0,
+                    upstream: None,
+                })
+                .collect();
+            let seed = u64::from(ip.to_bits());
+            let host = Host::new(smoltcp::time::Instant::ZERO, ip, seed);
+            CallerHost {
+                host,
+                sessions,
+                next_port: FIRST_PORT,
+            }
+        };
+        let hosts = (0..cfg.hosts).map(&mut host).collect();
+        Ok(Self {
+            cfg,
+            socket: fabric::bind(cfg.listen)?,
+            hosts,
+            stats: Stats::new(),
+            start,
+            next_id: u64::from(cfg.first_host.to_bits()) << 32,
+            closing: false,
+            rng,
+        })
+    }
+
+    /// What has happened so far.
+    pub fn stats(&mut self) -> &Stats {
+        let open = self
+            .hosts
+            .iter()
+            .flat_map(|host| &host.sessions)
+            .filter(|s| s.is_open());
+        self.stats.open = open.count() as u64;
+        &self.stats
+    }
+
+    /// Opens no session and sends no request from now on.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
+    /// Whether no session waits for an answer.
+    pub fn is_quiet(&self) -> bool {
+        let mut sessions = self.hosts.iter().flat_map(|host| &host.sessions);
+        !sessions.any(|s| matches!(s.phase, Phase::Waiting { .. } | Phase::Opening { .. }))
+    }
+
+    /// Works until `until`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket fails for good.
+    pub async fn run_until(&mut self, until: Instant) -> io::Result<()> {
+        let mut buf = vec![0; packet::view::MAX_PACKET_BYTES];
+        let mut tick = Instant::now();
+        while Instant::now() < until {
+            tokio::select! {
+                ready = self.socket.readable() => ready?,
+                () = tokio::time::sleep_until(tick.into()) => {}
+            }
+            self.receive(&mut buf);
+            if Instant::now() >= tick {
+                for index in 0..self.hosts.len() {
+                    self.step(index);
+                }
+                tick = Instant::now() + TICK;
+            }
+        }
+        Ok(())
+    }
+
+    fn receive(&mut self, buf: &mut [u8]) {
+        const BATCH_PACKETS: usize = 256;
+        let mut touched: IndexMap<usize, ()> = IndexMap::new();
+        for _ in 0..BATCH_PACKETS {
+            let Ok((len, _)) = self.socket.try_recv_from(buf) else {
+                break;
+            };
+            let Ok(view) = View::parse(&buf[..len]) else {
+                continue;
+            };
+            let first = self.cfg.first_host.to_bits();
+            let index = view.dst.ip().to_bits().wrapping_sub(first) as usize;
+            if let Some(host) = self.hosts.get_mut(index) {
+                host.host.receive(&buf[..len]);
+                touched.insert(index, ());
+            }
+        }
+        for index in touched.into_keys() {
+            self.step(index);
+        }
+    }
+
+    fn step(&mut self, index: usize) {
+        let now = Instant::now();
+        let micros = now.duration_since(self.start).as_micros();
+        let stack_now = smoltcp::time::Instant::from_micros(i64::try_from(micros).unwrap_or(0));
+        let host = &mut self.hosts[index];
+        host.host.poll(stack_now);
+        let mut cx = Context {
+            cfg: &self.cfg,
+            now,
+            closing: self.closing,
+            next_id: &mut self.next_id,
+            rng: &mut self.rng,
+            stats: &mut self.stats,
+        };
+        for session in &mut host.sessions {
+            session.step(&mut host.host, &mut host.next_port, &mut cx);
+        }
+        host.host.poll(stack_now);
+        while let Some(packet) = host.host.next_outgoing() {
+            let _ = self.socket.try_send_to(&packet, self.cfg.fabric);
+        }
+    }
+}
+
+/// What a session's step needs besides its host.
+struct Context<'a> {
+    cfg: &'a Settings,
+    now: Instant,
+    closing: bool,
+    next_id: &'a mut u64,
+    rng: &'a mut fastrand::Rng,
+    stats: &'a mut Stats,
+}
+
+impl Context<'_> {
+    fn think(&mut self) -> Duration {
+        self.cfg.think.mul_f64(0.5 + self.rng.f64())
+    }
+}
+
+impl Session {
+    fn is_open(&self) -> bool {
+        matches!(self.phase, Phase::Thinking { .. } | Phase::Waiting { .. })
+    }
+
+    fn step(&mut self, host: &mut Host, next_port: &mut u16, cx: &mut Context<'_>) {
+        match &mut self.phase {
+            Phase::Absent { until } => {
+                if *until <= cx.now && !cx.closing {
+                    self.open(host, next_port, cx);
+                }
+            }
+            Phase::Opening { handle, since } => {
+                let (handle, since) = (*handle, *since);
+                self.step_opening(host, handle, since, cx);
+            }
+            Phase::Thinking { handle, until } => {
+                let (handle, until) = (*handle, *until);
+                self.step_thinking(host, handle, until, cx);
+            }
+            Phase::Waiting { .. } => self.step_waiting(host, cx),
+            Phase::Closing { handle, since } => {
+                let state = host.socket(*handle).state();
+                let done = matches!(state, State::Closed | State::TimeWait);
+                if done || cx.now.duration_since(*since) > ANSWER_TIMEOUT {
+                    host.remove_socket(*handle);
+                    self.phase = Phase::Absent {
+                        until: cx.now + cx.think(),
+                    };
+                }
+            }
+        }
+    }
+
+    fn open(&mut self, host: &mut Host, next_port: &mut u16, cx: &mut Context<'_>) {
+        let handle = host.add_socket(RX_BYTES, TX_BYTES);
+        let port = *next_port;
+        *next_port = port.checked_add(1).unwrap_or(FIRST_PORT);
+        let connects = host.connect(handle, cx.cfg.service, port);
+        debug_assert!(connects.is_ok());
+        self.upstream = None;
+        self.answered = 0;
+        self.phase = Phase::Opening {
+            handle,
+            since: cx.now,
+        };
+    }
+
+    fn step_opening(
+        &mut self,
+        host: &mut Host,
+        handle: SocketHandle,
+        since: Instant,
+        cx: &mut Context<'_>,
+    ) {
+        let late = cx.now.duration_since(since) > CONNECT_TIMEOUT;
+        match host.socket(handle).state() {
+            State::Established => {
+                cx.stats.opened += 1;
+                self.phase = Phase::Thinking {
+                    handle,
+                    until: cx.now,
+                };
+            }
+            State::Closed | State::CloseWait if !late => {
+                cx.stats.refused += 1;
+                self.drop_connection(host, handle, cx);
+            }
+            _ if late => {
+                cx.stats.unanswered += 1;
+                self.drop_connection(host, handle, cx);
+            }
+            _ => {}
+        }
+    }
+
+    fn step_thinking(
+        &mut self,
+        host: &mut Host,
+        handle: SocketHandle,
+        until: Instant,
+        cx: &mut Context<'_>,
+    ) {
+        let socket = host.socket(handle);
+        if socket.state() != State::Established {
+            self.note_broken(host, handle, cx);
+            return;
+        }
+        let silent = self.idle && self.answered > 0 && !cx.closing;
+        if until > cx.now || silent {
+            return;
+        }
+        let finished = cx
+            .cfg
+            .requests
+            .is_some_and(|requests| self.answered >= requests);
+        if finished || (cx.closing && !self.idle) {
+            socket.close();
+            self.phase = Phase::Closing {
+                handle,
+                since: cx.now,
+            };
+            return;
+        }
+        // An idle session sends one last request at the end, to show that it still works.
+        self.idle = false;
+        *cx.next_id += 1;
+        let service = service_hash(cx.cfg.service);
+        let request = Request {
+            id: *cx.next_id,
+            service,
+            body: cx.cfg.body,
+        };
+        let sent = socket.send_slice(&request.encode());
+        debug_assert!(sent.is_ok());
+        self.phase = Phase::Waiting {
+            handle,
+            request,
+            since: cx.now,
+            got: Vec::new(),
+        };
+    }
+
+    fn step_waiting(&mut self, host: &mut Host, cx: &mut Context<'_>) {
+        let Phase::Waiting {
+            handle,
+            request,
+            since,
+            got,
+        } = &mut self.phase
+        else {
+            return;
+        };
+        let (handle, request, since) = (*handle, *request, *since);
+        let socket = host.socket(handle);
+        let read = socket.recv(|data| {
+            got.extend_from_slice(data);
+            (data.len(), ())
+        });
+        let whole = HEAD_BYTES + request.body as usize;
+        if got.len() >= whole {
+            self.upstream = Head::decode(got).map(|head| head.upstream);
+            let right = is_right(got, request);
+            let took = cx.now.duration_since(since).as_micros();
+            cx.stats.answer_us.saturating_record(took as u64);
+            *if right {
+                &mut cx.stats.ok
+            } else {
+                &mut cx.stats.wrong
+            } += 1;
+            self.answered += 1;
+            self.phase = Phase::Thinking {
+                handle,
+                until: cx.now + cx.think(),
+            };
+            return;
+        }
+        let late = cx.now.duration_since(since) > ANSWER_TIMEOUT;
+        let dead = read.is_err() && socket.state() != State::Established;
+        if late || dead {
+            self.note_broken(host, handle, cx);
+        }
+    }
+
+    fn note_broken(&mut self, host: &mut Host, handle: SocketHandle, cx: &mut Context<'_>) {
+        let upstream = self.upstream.unwrap_or(Ipv4Addr::UNSPECIFIED);
+        *cx.stats.broken.entry(upstream).or_default() += 1;
+        self.drop_connection(host, handle, cx);
+    }
+
+    fn drop_connection(&mut self, host: &mut Host, handle: SocketHandle, cx: &mut Context<'_>) {
+        host.remove_socket(handle);
+        let until = cx.now + RETRY_WAIT.mul_f64(0.5 + cx.rng.f64());
+        self.phase = Phase::Absent { until };
+    }
+}
+
+impl Stats {
+    fn new() -> Self {
+        // The bounds are constants that the library accepts.
+        let answer_us = Histogram::new_with_max(MAX_ANSWER_US, 3);
+        Self {
+            opened: 0,
+            refused: 0,
+            unanswered: 0,
+            ok: 0,
+            wrong: 0,
+            broken: IndexMap::new(),
+            open: 0,
+            answer_us: answer_us.unwrap_or_else(|e| unreachable!("{e}")),
+        }
+    }
+}
+
+/// Whether an answer belongs to the request and is complete.
+fn is_right(got: &[u8], request: Request) -> bool {
+    let whole = HEAD_BYTES + request.body as usize;
+    let head_fits = Head::decode(got).is_some_and(|head| head.request == request);
+    let body = got.get(HEAD_BYTES..whole).unwrap_or_default();
+    let body_fits = body
+        .iter()
+        .zip(0..)
+        .all(|(byte, at)| *byte == request.body_byte(at));
+    head_fits && body_fits && got.len() == whole
+}
