Give up an opening when its slot moves to another home

Cause: an entry whose slot moved away kept its unanswered opening, retried it at a second upstream after 300 ms and, when the slot came back within 30 s, took the stale opening for the flow's state. The second upstream's reset then went to the caller. Seen in the demo's rolling restart as 1 to 4 broken flows of about 1,980; traced by logging each reset with its flow and hop. Ruled out: a stale learned flow (no port was reused), a reset built by an entry (the trace shows a forwarded one). Change: set_members hands such openings over: nothing is retried, the counts are released, and only the answer to an ask is kept for the settle time.

--- a/crates/flow/src/engine.rs
+++ b/crates/flow/src/engine.rs
@@ -181,7 +181,8 @@
 
     /// Takes over the live entries and the number of entries that may be opening flows.
     ///
-    /// Flows whose home is now another entry are kept as learned, so that the new home can ask.
+    /// Flows whose home is now another entry are kept as learned, so that the new home can ask. An
+    /// entry that becomes the home again starts from nothing: what it knew may be stale by then.
     pub fn set_members(&mut self, now: Timestamp, members: &[Id], share: Share) {
         self.share = share;
         self.homes.set_members(now, members);
@@ -189,12 +190,16 @@
         let moved: Vec<(Key, HomeFlow)> = self
             .flows
             .iter()
-            .filter(|(key, flow)| flow.is_settled() && homes.of(key.slot(hash)) != Some(id))
+            .filter(|(key, _)| homes.of(key.slot(hash)) != Some(id))
             .map(|(key, flow)| (*key, *flow))
             .collect();
         for (key, flow) in moved {
-            self.remove_flow(&key);
-            self.learn(now, key, flow.upstream);
+            if flow.is_settled() {
+                self.remove_flow(&key);
+                self.learn(now, key, flow.upstream);
+            } else {
+                self.hand_over_opening(key);
+            }
         }
     }
 
--- a/crates/flow/src/home.rs
+++ b/crates/flow/src/home.rs
@@ -69,6 +69,15 @@
     started: Timestamp,
     sent: Timestamp,
     tried: Vec<Ipv4Addr>,
+    /// Whether the flow has another home now, which may still ask where it was sent.
+    moved: bool,
+}
+
+impl Opening {
+    /// The upstream that was tried last.
+    pub(crate) fn upstream(&self) -> Option<Ipv4Addr> {
+        self.tried.last().copied()
+    }
 }
 
 impl HomeFlow {
@@ -206,6 +215,7 @@
             started: now,
             sent: now,
             tried: vec![upstream],
+            moved: false,
         };
         self.retries.earn(f64::from(self.cfg.retry_percent) / 100.0);
         let isn = initial_sequence(packet.view);
@@ -397,14 +407,26 @@
                 dead.push(*key);
                 continue;
             };
-            if now.since(opening.started) > OPENING_LIFETIME {
+            let lifetime = if opening.moved {
+                SETTLE_TIME
+            } else {
+                OPENING_LIFETIME
+            };
+            if now.since(opening.started) > lifetime {
                 dead.push(*key);
-            } else if opening.repeatable && now.since(opening.sent) > service.opening {
+            } else if !opening.moved
+                && opening.repeatable
+                && now.since(opening.sent) > service.opening
+            {
                 late.push(*key);
             }
         }
         for key in dead {
-            self.remove_flow(&key);
+            if self.openings.get(&key).is_some_and(|opening| opening.moved) {
+                self.openings.swap_remove(&key);
+            } else {
+                self.remove_flow(&key);
+            }
         }
         for key in late {
             self.try_elsewhere(now, key, out);
@@ -466,9 +488,23 @@
         }
     }
 
+    /// Gives up an opening whose slot has moved. Its new home decides from now on; kept is only
+    /// the answer to where it was sent.
+    pub(crate) fn hand_over_opening(&mut self, key: Key) {
+        let Some(mut opening) = self.openings.get(&key).cloned() else {
+            return;
+        };
+        self.remove_flow(&key);
+        opening.moved = true;
+        self.openings.insert(key, opening);
+    }
+
     /// Takes a removed flow out of the pool's counts.
     fn release(&mut self, key: &Key, flow: &HomeFlow) {
-        let opening = self.openings.swap_remove(key);
+        let opening = self
+            .openings
+            .swap_remove(key)
+            .filter(|opening| !opening.moved);
         let Some(pool) = self.pools.get_mut(&key.address()) else {
             return;
         };
--- a/crates/flow/src/recovery.rs
+++ b/crates/flow/src/recovery.rs
@@ -14,7 +14,7 @@
 use crate::action::{Action, Message, Target};
 use crate::count::Count;
 use crate::engine::{Engine, Packet, Side, Verdict};
-use crate::home::State;
+use crate::home::{Opening, State};
 use crate::homes::Id;
 use crate::key::Key;
 use crate::service::Stage;
@@ -135,6 +135,13 @@
                 opening,
             };
         }
+        if let Some(upstream) = self.openings.get(&key).and_then(Opening::upstream) {
+            return Message::Known {
+                key,
+                upstream,
+                opening: true,
+            };
+        }
         match self.learned.get(&key) {
             Some(learned) => Message::Known {
                 key,
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -111,6 +111,7 @@
     idle: bool,
     answered: u32,
     upstream: Option<Ipv4Addr>,
+    port: u16,
 }
 
 #[derive(Debug)]
@@ -160,6 +161,7 @@
                     idle: rng.u32(..100) < cfg.idle_percent,
                     answered: 0,
                     upstream: None,
+                    port: 0,
                 })
                 .collect();
             let seed = u64::from(ip.to_bits());
@@ -333,6 +335,7 @@
         debug_assert!(connects.is_ok());
         self.upstream = None;
         self.answered = 0;
+        self.port = port;
         self.phase = Phase::Opening {
             handle,
             since: cx.now,
@@ -457,6 +460,15 @@
 
     fn note_broken(&mut self, host: &mut Host, handle: SocketHandle, cx: &mut Context<'_>) {
         let upstream = self.upstream.unwrap_or(Ipv4Addr::UNSPECIFIED);
+        let ip = host.ip();
+        let socket = host.socket(handle);
+        eprintln!(
+            "broken: {:?} at {upstream}, {}, {:?}, answered {}",
+            (self.port, ip),
+            socket.state(),
+            self.phase,
+            self.answered
+        );
         *cx.stats.broken.entry(upstream).or_default() += 1;
         self.drop_connection(host, handle, cx);
     }
--- a/crates/standins/src/host.rs
+++ b/crates/standins/src/host.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// The host's address.
+    pub fn ip(&self) -> Option<Ipv4Addr> {
+        self.iface.ipv4_addr()
+    }
+
     /// Adds a TCP socket with buffers of the given sizes in bytes.
     pub fn add_socket(&mut self, rx_bytes: usize, tx_bytes: usize) -> SocketHandle {
         let rx = tcp::SocketBuffer::new(vec![0; rx_bytes]);
@@ -107,6 +112,11 @@
         result == smoltcp::iface::PollResult::SocketStateChanged
     }
 
+    /// When the stack wants to work again if nothing arrives before.
+    pub fn poll_at(&mut self, now: Instant) -> Option<Instant> {
+        self.iface.poll_at(now, &self.sockets)
+    }
+
     /// Takes the next packet to be sent.
     pub fn next_outgoing(&mut self) -> Option<Vec<u8>> {
         self.queues.outgoing.pop_front()
