Settle an opening whose answer passed another home

Cause: while entries' views differ for some milliseconds, the SYN and the SYN-ACK of a flow may pass two entries that each take themselves for its home. The first kept the flow as opening, swallowed the data of the very upstream it had chosen, and retried the opening at a second upstream whose reset then broke the flow. Traced in virtual time (flow by flow) on the new crate fakes, which puts real engines, views and TCP endpoints between small fakes of the links. Ruled out: loss on links (none in this world), port reuse. Change: the caller's acknowledgement or the upstream's data settles the opening; with several upstreams tried, the flow is recovered instead.

--- /dev/null
+++ b/crates/fakes/src/caller.rs
@@ -0,0 +1,264 @@
+//! A caller with one flow over real TCP.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use smoltcp::iface::SocketHandle;
+use smoltcp::socket::tcp::State;
+use standins::answer::{HEAD_BYTES, Head, Request, service_hash};
+use standins::host::Host;
+use stdx::time::Timestamp;
+
+use crate::seen::Seen;
+
+/// Time without an answer after which a flow counts as broken.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Time without an answer after which an opening counts as unanswered.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Sizes of the buffers in bytes.
+const RX_BYTES: usize = 1_024;
+const TX_BYTES: usize = 64;
+
+/// Length of an answer's body in bytes.
+const BODY_BYTES: u32 = 100;
+
+/// What a caller does.
+#[derive(Debug, Clone, Copy)]
+pub struct Plan {
+    /// When it connects.
+    pub start: Timestamp,
+    /// Requests before it closes; none if it stays.
+    pub requests: Option<u32>,
+    /// Time between an answer and the next request.
+    pub think: Duration,
+    /// Requests at the start, after which it is silent until `resume`.
+    pub resume: Option<Timestamp>,
+}
+
+/// Where a caller is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Not connected yet.
+    Absent,
+    /// Connecting.
+    Opening,
+    /// Connected.
+    Thinking,
+    /// Waiting for an answer.
+    Waiting,
+    /// Closing.
+    Closing,
+    /// Done, refused, unanswered or broken.
+    Over,
+}
+
+/// A caller.
+#[derive(Debug)]
+pub struct Caller {
+    /// Where it is.
+    pub phase: Phase,
+    /// The upstream that answers it.
+    pub upstream: Option<Ipv4Addr>,
+    plan: Plan,
+    service: SocketAddrV4,
+    host: Host,
+    handle: SocketHandle,
+    port: u16,
+    since: Timestamp,
+    next_request: Timestamp,
+    request: Option<Request>,
+    next_id: u64,
+    answered: u32,
+    got: Vec<u8>,
+}
+
+impl Caller {
+    /// A caller at `ip`.
+    pub fn new(ip: Ipv4Addr, port: u16, service: SocketAddrV4, plan: Plan) -> Self {
+        let seed = u64::from(ip.to_bits()) << 16 | u64::from(port);
+        let mut host = Host::new(stack_time(plan.start), ip, seed);
+        let handle = host.add_socket(RX_BYTES, TX_BYTES);
+        Self {
+            phase: Phase::Absent,
+            upstream: None,
+            plan,
+            service,
+            host,
+            handle,
+            port,
+            since: plan.start,
+            next_request: plan.start,
+            request: None,
+            next_id: seed << 16,
+            answered: 0,
+            got: Vec::new(),
+        }
+    }
+
+    /// Hands in a packet.
+    pub fn receive(&mut self, packet: &[u8]) {
+        self.host.receive(packet);
+    }
+
+    /// Works at `now`; returns packets to be sent and when to be called again.
+    pub fn step(&mut self, now: Timestamp, seen: &mut Seen) -> (Vec<Vec<u8>>, Option<Timestamp>) {
+        self.host.poll(stack_time(now));
+        self.advance(now, seen);
+        self.host.poll(stack_time(now));
+        let mut packets = Vec::new();
+        while let Some(packet) = self.host.next_outgoing() {
+            packets.push(packet);
+        }
+        (packets, self.next_at(now))
+    }
+
+    /// Whether the flow is open.
+    pub fn is_open(&self) -> bool {
+        matches!(self.phase, Phase::Thinking | Phase::Waiting)
+    }
+
+    fn advance(&mut self, now: Timestamp, seen: &mut Seen) {
+        match self.phase {
+            Phase::Absent if now >= self.plan.start => self.open(now),
+            Phase::Opening => self.advance_opening(now, seen),
+            Phase::Thinking => self.advance_thinking(now, seen),
+            Phase::Waiting => self.advance_waiting(now, seen),
+            Phase::Closing => {
+                let state = self.host.socket(self.handle).state();
+                if matches!(state, State::Closed | State::TimeWait) {
+                    self.phase = Phase::Over;
+                }
+            }
+            Phase::Absent | Phase::Over => {}
+        }
+    }
+
+    fn open(&mut self, now: Timestamp) {
+        let connects = self.host.connect(self.handle, self.service, self.port);
+        debug_assert!(connects.is_ok());
+        self.since = now;
+        self.phase = Phase::Opening;
+    }
+
+    fn advance_opening(&mut self, now: Timestamp, seen: &mut Seen) {
+        match self.host.socket(self.handle).state() {
+            State::Established => {
+                seen.opened += 1;
+                self.phase = Phase::Thinking;
+                self.next_request = now;
+                self.advance_thinking(now, seen);
+            }
+            State::Closed => {
+                seen.refused += 1;
+                self.phase = Phase::Over;
+            }
+            _ if now.since(self.since) > CONNECT_TIMEOUT => {
+                seen.unanswered += 1;
+                self.phase = Phase::Over;
+            }
+            _ => {}
+        }
+    }
+
+    fn advance_thinking(&mut self, now: Timestamp, seen: &mut Seen) {
+        if self.host.socket(self.handle).state() != State::Established {
+            return self.note_broken(seen);
+        }
+        if now < self.next_request {
+            return;
+        }
+        if self
+            .plan
+            .requests
+            .is_some_and(|requests| self.answered >= requests)
+        {
+            self.host.socket(self.handle).close();
+            self.phase = Phase::Closing;
+            return;
+        }
+        self.next_id += 1;
+        let service = service_hash(self.service);
+        let request = Request {
+            id: self.next_id,
+            service,
+            body: BODY_BYTES,
+        };
+        let sent = self.host.socket(self.handle).send_slice(&request.encode());
+        debug_assert!(sent.is_ok());
+        self.request = Some(request);
+        self.got.clear();
+        self.since = now;
+        self.phase = Phase::Waiting;
+    }
+
+    fn advance_waiting(&mut self, now: Timestamp, seen: &mut Seen) {
+        let Some(request) = self.request else {
+            return;
+        };
+        let got = &mut self.got;
+        let socket = self.host.socket(self.handle);
+        let read = socket.recv(|data| {
+            got.extend_from_slice(data);
+            (data.len(), ())
+        });
+        if got.len() >= HEAD_BYTES + request.body as usize {
+            return self.note_answer(now, request, seen);
+        }
+        let dead = read.is_err() && socket.state() != State::Established;
+        if dead || now.since(self.since) > ANSWER_TIMEOUT {
+            self.note_broken(seen);
+        }
+    }
+
+    fn note_answer(&mut self, now: Timestamp, request: Request, seen: &mut Seen) {
+        let head = Head::decode(&self.got);
+        let holder = head.map(|head| head.upstream);
+        let foreign = self.upstream.is_some() && self.upstream != holder;
+        let right = head.is_some_and(|head| head.request == request && !foreign)
+            && self.got == head.map(|head| head.encode_answer()).unwrap_or_default();
+        *if right { &mut seen.ok } else { &mut seen.wrong } += 1;
+        seen.answer_us
+            .push(now.since(self.since).as_micros() as u64);
+        self.upstream = holder;
+        self.answered += 1;
+        self.phase = Phase::Thinking;
+        self.next_request = match self.plan.resume {
+            Some(resume) if now < resume => resume,
+            _ => now + self.plan.think,
+        };
+    }
+
+    fn note_broken(&mut self, seen: &mut Seen) {
+        let upstream = self.upstream.unwrap_or(Ipv4Addr::UNSPECIFIED);
+        *seen.broken.entry(upstream).or_default() += 1;
+        self.phase = Phase::Over;
+    }
+
+    fn next_at(&mut self, now: Timestamp) -> Option<Timestamp> {
+        let own = match self.phase {
+            Phase::Absent => Some(self.plan.start),
+            Phase::Opening => Some(self.since + CONNECT_TIMEOUT + Duration::from_millis(1)),
+            Phase::Thinking => Some(self.next_request),
+            Phase::Waiting => Some(self.since + ANSWER_TIMEOUT + Duration::from_millis(1)),
+            Phase::Closing | Phase::Over => None,
+        };
+        let stack = self.host.poll_at(stack_time(now)).map(real_time);
+        [own, stack]
+            .into_iter()
+            .flatten()
+            .min()
+            .map(|at| at.max(now + Duration::from_micros(1)))
+    }
+}
+
+/// The stack's form of a time.
+pub(crate) fn stack_time(now: Timestamp) -> smoltcp::time::Instant {
+    smoltcp::time::Instant::from_micros(now.as_micros().cast_signed())
+}
+
+/// A time of the stack.
+pub(crate) fn real_time(at: smoltcp::time::Instant) -> Timestamp {
+    Timestamp(at.total_micros().cast_unsigned())
+}
--- /dev/null
+++ b/crates/fakes/src/entry.rs
@@ -0,0 +1,132 @@
+//! An entry: a real engine and a real view, without sockets.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use balance::Share;
+use flow::{Engine, Id, Services, Settings};
+use membership::{Heartbeat, Members, Timing};
+use stdx::time::Timestamp;
+
+/// The times of the view, as the real entry has them.
+const TIMING: Timing = Timing {
+    suspect_after: Duration::from_secs(1),
+    dead_after: Duration::from_secs(10),
+    pause: Duration::from_millis(750),
+    confirm: Duration::from_millis(1_500),
+};
+
+/// Where an entry is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    /// It runs.
+    Running,
+    /// It is stopping as planned.
+    Leaving,
+    /// It is gone.
+    Gone,
+}
+
+/// An entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// Its name.
+    pub id: Id,
+    /// Its availability zone.
+    pub zone: u8,
+    /// Its engine.
+    pub engine: Engine,
+    /// Where it is in its life.
+    pub life: Life,
+    /// Until when it is frozen.
+    pub frozen_until: Timestamp,
+    /// Count of its starts; events of an earlier life are dropped.
+    pub lives: u32,
+    members: Members,
+    started: Timestamp,
+    sequence: u64,
+    has_services: bool,
+}
+
+impl Entry {
+    /// An entry that starts now.
+    pub fn new(now: Timestamp, settings: Settings, zone: u8, all: &[Ipv4Addr]) -> Self {
+        Self {
+            id: settings.id,
+            zone,
+            members: Members::new(now, settings.id.0, all, TIMING),
+            engine: Engine::new(now, settings),
+            life: Life::Running,
+            frozen_until: now,
+            lives: 1,
+            started: now,
+            sequence: 0,
+            has_services: false,
+        }
+    }
+
+    /// Whether it can work at `now`.
+    pub fn is_up(&self, now: Timestamp) -> bool {
+        self.life != Life::Gone && self.frozen_until <= now
+    }
+
+    /// Whether the fabric's health check passes.
+    pub fn is_ready(&self, now: Timestamp) -> bool {
+        self.is_up(now)
+            && self.life == Life::Running
+            && self.has_services
+            && !self.members.is_confirming()
+    }
+
+    /// Takes over services.
+    pub fn set_services(&mut self, now: Timestamp, services: Services) {
+        self.has_services = true;
+        self.engine.set_services(now, services);
+        self.update_view(now);
+    }
+
+    /// Begins a planned stop.
+    pub fn leave(&mut self, now: Timestamp) {
+        self.life = Life::Leaving;
+        self.members.leave();
+        self.update_view(now);
+    }
+
+    /// Passes time in the view.
+    pub fn tick_view(&mut self, now: Timestamp) {
+        self.members.tick(now);
+        self.members
+            .set_ready(self.has_services && !self.members.is_confirming());
+        self.update_view(now);
+    }
+
+    /// Takes a heartbeat.
+    pub fn on_heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) {
+        self.members.on_heartbeat(now, heartbeat);
+        self.update_view(now);
+    }
+
+    /// The next heartbeat.
+    pub fn heartbeat(&mut self) -> Heartbeat {
+        self.sequence += 1;
+        Heartbeat {
+            id: self.id.0,
+            incarnation: self.started,
+            sequence: self.sequence,
+            ready: self.has_services && !self.members.is_confirming(),
+            leaving: self.life == Life::Leaving,
+        }
+    }
+
+    fn update_view(&mut self, now: Timestamp) {
+        let view = self.members.view(now);
+        let homes: Vec<Id> = view.homes.iter().copied().map(Id).collect();
+        self.engine.set_members(
+            now,
+            &homes,
+            Share {
+                entries: view.possible,
+            },
+        );
+    }
+}
--- a/crates/flow/src/home.rs
+++ b/crates/flow/src/home.rs
@@ -154,6 +154,10 @@
         }
         let flags = packet.view.flags();
         let key = packet.key;
+        if flow.state == State::Opening && flags.ack && !self.settle_by_request(now, packet) {
+            self.remove_flow(&key);
+            return self.recover(now, packet, out);
+        }
         if let Some(flow) = self.flows.get_mut(&key) {
             flow.seen_s = now.as_secs() as u32;
             flow.fin_caller |= flags.fin;
@@ -169,6 +173,19 @@
         Verdict::Forward(self.upstream_target(&key, flow.upstream))
     }
 
+    /// The caller acknowledges an answer to its opening that did not pass here, because another
+    /// entry was taken for the home. Returns whether the upstream that answered is known.
+    fn settle_by_request(&mut self, now: Timestamp, packet: &Packet<'_>) -> bool {
+        let Some(opening) = self.openings.get(&packet.key) else {
+            return false;
+        };
+        let [only] = opening.tried[..] else {
+            return false;
+        };
+        self.settle(now, packet.key, only, State::Recovered);
+        true
+    }
+
     fn request_of_unknown(
         &mut self,
         now: Timestamp,
@@ -280,7 +297,12 @@
             Transport::IcmpError { .. } => false,
         };
         if accepts {
-            self.accept(now, packet, ip);
+            let state = match packet.view.protocol() {
+                Protocol::Tcp => State::HalfOpen,
+                Protocol::Udp => State::Established,
+            };
+            self.settle(now, packet.key, ip, state);
+            self.counters.add(Count::ByHome);
             return Verdict::Forward(Target::Caller);
         }
         if flags.rst && ip == flow.upstream {
@@ -289,11 +311,17 @@
         if flags.rst || packet.view.protocol() == Protocol::Udp {
             return Verdict::Drop(Count::Swallowed);
         }
-        self.swallow(packet, ip, out)
+        if flags.syn {
+            return self.swallow(packet, ip, out);
+        }
+        // Only an upstream that has the caller's acknowledgement sends more than its first answer.
+        self.settle(now, packet.key, ip, State::Established);
+        self.counters.add(Count::ByHome);
+        Verdict::Forward(Target::Caller)
     }
 
-    fn accept(&mut self, now: Timestamp, packet: &Packet<'_>, ip: Ipv4Addr) {
-        let key = packet.key;
+    /// Ends the opening of a flow: `ip` holds it.
+    fn settle(&mut self, now: Timestamp, key: Key, ip: Ipv4Addr, state: State) {
         let opening = self.openings.swap_remove(&key);
         let tried = opening.map(|opening| opening.tried).unwrap_or_default();
         if let Some(pool) = self.pools.get_mut(&key.address()) {
@@ -302,16 +330,11 @@
                 .filter(|other| **other != ip)
                 .for_each(|other| pool.close(*other));
         }
-        let state = match packet.view.protocol() {
-            Protocol::Tcp => State::HalfOpen,
-            Protocol::Udp => State::Established,
-        };
         if let Some(flow) = self.flows.get_mut(&key) {
             flow.upstream = ip;
             flow.state = state;
             flow.seen_s = now.as_secs() as u32;
         }
-        self.counters.add(Count::ByHome);
     }
 
     /// A refusal is passed on only when no other upstream may be asked; it is then true, because
--- a/crates/flow/tests/moved_slots.rs
+++ b/crates/flow/tests/moved_slots.rs
@@ -78,3 +78,34 @@
     );
     assert_eq!(engine.flow_count(), 0);
 }
+
+/// While views differ, the answer to an opening may pass another entry that takes itself for the
+/// home. The caller's next packet then shows that the flow is open.
+#[test]
+fn opening_answered_elsewhere_request() {
+    let mut engine = support::engine(Protocol::Tcp);
+    let sent = support::give(&mut engine, NOW, Origin::Caller, &support::syn());
+    let upstream = support::upstreams(&sent)[0];
+
+    let sent = support::give(&mut engine, NOW, Origin::Caller, &support::data());
+    assert_eq!(support::upstreams(&sent), [upstream]);
+    let late = NOW + Duration::from_millis(400);
+    assert_eq!(support::tick(&mut engine, late), [], "retried an open flow");
+}
+
+/// The same, seen first by the upstream's data.
+///
+/// Found by `rolling_restart_seeds`: the home swallowed the data of the upstream that it had
+/// chosen itself and opened the flow at a second one.
+#[test]
+fn opening_answered_elsewhere_reply() {
+    let mut engine = support::engine(Protocol::Tcp);
+    let sent = support::give(&mut engine, NOW, Origin::Caller, &support::syn());
+    let upstream = support::upstreams(&sent)[0];
+
+    let answer = support::answer();
+    let passed = support::give(&mut engine, NOW, Origin::Upstream(upstream), &answer);
+    assert!(support::passes_to_caller(&passed));
+    let late = NOW + Duration::from_millis(400);
+    assert_eq!(support::tick(&mut engine, late), [], "retried an open flow");
+}
