--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -16,12 +16,7 @@
 impl Budget {
     /// A full bucket of `capacity` tokens that gains `per_second` tokens a second.
     pub fn new(now: Timestamp, capacity: f64, per_second: f64) -> Self {
-        Self {
-            tokens: capacity,
-            capacity,
-            per_second,
-            last: now,
-        }
+        Self { tokens: capacity, capacity, per_second, last: now }
     }
 
     /// Changes the capacity and the gain a second from `now` on.
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -53,12 +53,10 @@
 impl Pool {
     /// Takes over a new configuration. Upstreams that become eligible start cold.
     pub fn apply(&mut self, now: Timestamp, specs: &[Spec]) {
-        self.upstreams
-            .retain(|ip, _| specs.iter().any(|spec| spec.upstream == *ip));
+        self.upstreams.retain(|ip, _| specs.iter().any(|spec| spec.upstream == *ip));
         for spec in specs {
             let Some(state) = self.upstreams.get_mut(&spec.upstream) else {
-                self.upstreams
-                    .insert(spec.upstream, State::cold(now, spec.clone()));
+                self.upstreams.insert(spec.upstream, State::cold(now, spec.clone()));
                 continue;
             };
             let returns = spec.eligible && !state.spec.eligible;
@@ -154,12 +152,7 @@
 impl State {
     fn cold(now: Timestamp, spec: Spec) -> Self {
         let cold_opens = Budget::new(now, 0.0, 0.0);
-        let mut state = Self {
-            spec,
-            open: 0,
-            cold_since: None,
-            cold_opens,
-        };
+        let mut state = Self { spec, open: 0, cold_since: None, cold_opens };
         state.start_cold(now);
         state
     }
@@ -178,8 +171,7 @@
             return false;
         }
         self.cold_rate(now, share).is_none_or(|rate| {
-            self.cold_opens
-                .set_rate(now, (rate * COLD_BURST_S).max(1.0), rate);
+            self.cold_opens.set_rate(now, (rate * COLD_BURST_S).max(1.0), rate);
             self.cold_opens.holds(now, 1.0)
         })
     }
--- a/crates/config/src/raw.rs
+++ b/crates/config/src/raw.rs
@@ -104,10 +104,7 @@
 
 /// Reads and checks a document.
 pub(crate) fn parse(text: &str) -> Result<Document, Problems> {
-    let mut check = Check {
-        text,
-        problems: Vec::new(),
-    };
+    let mut check = Check { text, problems: Vec::new() };
     if text.len() > MAX_DOCUMENT_BYTES {
         check.problem(0..0, format!("longer than {MAX_DOCUMENT_BYTES} bytes"));
         return Err(Problems(check.problems));
@@ -133,11 +130,7 @@
             return Ok(self);
         }
         let reason = format!("`service` is \"{}\", expected \"{service}\"", self.service);
-        Err(Problems(vec![Problem {
-            line: 1,
-            column: 1,
-            reason,
-        }]))
+        Err(Problems(vec![Problem { line: 1, column: 1, reason }]))
     }
 }
 
@@ -157,11 +150,7 @@
         let upstreams = self.upstreams(&raw.upstreams);
         let limits = &raw.limits;
         self.bounded(&limits.flows, "flows", 1..=MAX_FLOWS);
-        self.bounded(
-            &limits.cold_flows,
-            "cold_flows",
-            1..=*limits.flows.get_ref(),
-        );
+        self.bounded(&limits.cold_flows, "cold_flows", 1..=*limits.flows.get_ref());
         self.bounded(&limits.cold_opens_per_s, "cold_opens_per_s", 1..=MAX_FLOWS);
         let cold_ramp = self.duration(Some(&limits.cold_ramp), Duration::ZERO);
         let idle = self.duration(raw.timeouts.idle.as_ref(), Duration::from_hours(2));
@@ -171,10 +160,7 @@
             address: address?,
             protocol: protocol?,
             zones,
-            priority: raw
-                .priority
-                .as_ref()
-                .map_or(0, |priority| *priority.get_ref()),
+            priority: raw.priority.as_ref().map_or(0, |priority| *priority.get_ref()),
             repeatable: raw.repeatable.unwrap_or(false),
             max_flows: *limits.flows.get_ref(),
             cold_flows: *limits.cold_flows.get_ref(),
@@ -191,10 +177,7 @@
         for zone in raw.get_ref() {
             self.name(zone, "zone");
             if zones.contains(zone.get_ref()) {
-                self.problem(
-                    zone.span(),
-                    format!("zone \"{}\" stands twice", zone.get_ref()),
-                );
+                self.problem(zone.span(), format!("zone \"{}\" stands twice", zone.get_ref()));
             }
             zones.push(zone.get_ref().clone());
         }
@@ -211,10 +194,7 @@
                 continue;
             };
             if upstreams.insert(ip, checked).is_some() {
-                self.problem(
-                    upstream.address.span(),
-                    format!("upstream {ip} stands twice"),
-                );
+                self.problem(upstream.address.span(), format!("upstream {ip} stands twice"));
             }
         }
         upstreams
@@ -230,23 +210,13 @@
             Some("draining") => UpstreamState::Draining,
             Some(other) => {
                 let span = raw.state.as_ref().map_or(0..0, Spanned::span);
-                self.problem(
-                    span,
-                    format!("state \"{other}\" is neither active nor draining"),
-                );
+                self.problem(span, format!("state \"{other}\" is neither active nor draining"));
                 return None;
             }
         };
         let ip = self.parsed(&raw.address, "an IPv4 address")?;
         let weight = raw.weight.as_ref().map_or(1, |weight| *weight.get_ref());
-        Some((
-            ip,
-            Upstream {
-                zone: raw.zone.get_ref().clone(),
-                weight,
-                state,
-            },
-        ))
+        Some((ip, Upstream { zone: raw.zone.get_ref().clone(), weight, state }))
     }
 
     fn protocol(&mut self, raw: &Spanned<String>) -> Option<Protocol> {
@@ -254,10 +224,7 @@
             "tcp" => Some(Protocol::Tcp),
             "udp" => Some(Protocol::Udp),
             other => {
-                self.problem(
-                    raw.span(),
-                    format!("protocol \"{other}\" is neither tcp nor udp"),
-                );
+                self.problem(raw.span(), format!("protocol \"{other}\" is neither tcp nor udp"));
                 None
             }
         }
@@ -299,11 +266,8 @@
     fn bounded(&mut self, raw: &Spanned<u32>, what: &str, bounds: std::ops::RangeInclusive<u32>) {
         let value = *raw.get_ref();
         if !bounds.contains(&value) {
-            let reason = format!(
-                "{what} {value} is not from {} to {}",
-                bounds.start(),
-                bounds.end()
-            );
+            let reason =
+                format!("{what} {value} is not from {} to {}", bounds.start(), bounds.end());
             self.problem(raw.span(), reason);
         }
     }
@@ -312,10 +276,6 @@
         let before = &self.text[..self.text.floor_char_boundary(span.start)];
         let line = before.matches('\n').count() + 1;
         let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
-        self.problems.push(Problem {
-            line,
-            column,
-            reason,
-        });
+        self.problems.push(Problem { line, column, reason });
     }
 }
--- a/crates/config/src/revision.rs
+++ b/crates/config/src/revision.rs
@@ -54,11 +54,7 @@
             Ok(document) => document,
             Err(problems) => return Outcome::Invalid(problems),
         };
-        let in_force = InForce {
-            revision,
-            text: text.to_owned(),
-            document,
-        };
+        let in_force = InForce { revision, text: text.to_owned(), document };
         self.in_force.insert(service.to_owned(), in_force);
         Outcome::Applied
     }
@@ -76,10 +72,7 @@
             hasher.write_u64(held.revision.0);
             hasher.finish()
         };
-        self.in_force
-            .iter()
-            .map(one)
-            .fold(0, |all, hash| all ^ hash)
+        self.in_force.iter().map(one).fold(0, |all, hash| all ^ hash)
     }
 
     /// Whether any document is in force.
--- a/crates/events/src/hlc.rs
+++ b/crates/events/src/hlc.rs
@@ -33,15 +33,9 @@
 
     fn advance(&mut self, now: Timestamp, floor: Stamp) -> Stamp {
         self.last = if now.as_micros() > floor.micros {
-            Stamp {
-                micros: now.as_micros(),
-                counter: 0,
-            }
+            Stamp { micros: now.as_micros(), counter: 0 }
         } else {
-            Stamp {
-                micros: floor.micros,
-                counter: floor.counter + 1,
-            }
+            Stamp { micros: floor.micros, counter: floor.counter + 1 }
         };
         self.last
     }
--- a/crates/fakes/src/caller.rs
+++ b/crates/fakes/src/caller.rs
@@ -169,22 +169,14 @@
         if now < self.next_request {
             return;
         }
-        if self
-            .plan
-            .requests
-            .is_some_and(|requests| self.answered >= requests)
-        {
+        if self.plan.requests.is_some_and(|requests| self.answered >= requests) {
             self.host.socket(self.handle).close();
             self.phase = Phase::Closing;
             return;
         }
         self.next_id += 1;
         let service = service_hash(self.service);
-        let request = Request {
-            id: self.next_id,
-            service,
-            body: BODY_BYTES,
-        };
+        let request = Request { id: self.next_id, service, body: BODY_BYTES };
         let sent = self.host.socket(self.handle).send_slice(&request.encode());
         debug_assert!(sent.is_ok());
         self.request = Some(request);
@@ -219,8 +211,7 @@
         let right = head.is_some_and(|head| head.request == request && !foreign)
             && self.got == head.map(|head| head.encode_answer()).unwrap_or_default();
         *if right { &mut seen.ok } else { &mut seen.wrong } += 1;
-        seen.answer_us
-            .push(now.since(self.since).as_micros() as u64);
+        seen.answer_us.push(now.since(self.since).as_micros() as u64);
         self.upstream = holder;
         self.answered += 1;
         self.phase = Phase::Thinking;
@@ -245,11 +236,7 @@
             Phase::Closing | Phase::Over => None,
         };
         let stack = self.host.poll_at(stack_time(now)).map(real_time);
-        [own, stack]
-            .into_iter()
-            .flatten()
-            .min()
-            .map(|at| at.max(now + Duration::from_micros(1)))
+        [own, stack].into_iter().flatten().min().map(|at| at.max(now + Duration::from_micros(1)))
     }
 }
 
--- a/crates/fakes/src/entry.rs
+++ b/crates/fakes/src/entry.rs
@@ -95,8 +95,7 @@
     /// Passes time in the view.
     pub fn tick_view(&mut self, now: Timestamp) {
         self.members.tick(now);
-        self.members
-            .set_ready(self.has_services && !self.members.is_confirming());
+        self.members.set_ready(self.has_services && !self.members.is_confirming());
         self.update_view(now);
     }
 
@@ -121,12 +120,6 @@
     fn update_view(&mut self, now: Timestamp) {
         let view = self.members.view(now);
         let homes: Vec<Id> = view.homes.iter().copied().map(Id).collect();
-        self.engine.set_members(
-            now,
-            &homes,
-            Share {
-                entries: view.possible,
-            },
-        );
+        self.engine.set_members(now, &homes, Share { entries: view.possible });
     }
 }
--- a/crates/fakes/src/faults.rs
+++ b/crates/fakes/src/faults.rs
@@ -24,9 +24,7 @@
 impl Links {
     /// Whether two entries can't reach each other.
     pub fn cuts_entries(&self, a: Id, b: Id) -> bool {
-        self.entry_cuts
-            .iter()
-            .any(|pair| *pair == (a, b) || *pair == (b, a))
+        self.entry_cuts.iter().any(|pair| *pair == (a, b) || *pair == (b, a))
     }
 
     /// Whether a packet to an upstream is swallowed.
--- a/crates/fakes/src/upstream.rs
+++ b/crates/fakes/src/upstream.rs
@@ -153,11 +153,7 @@
                 break;
             };
             seen.execute(request.id);
-            self.running.push(Job {
-                key,
-                request,
-                done: now + self.behaviour.run_time,
-            });
+            self.running.push(Job { key, request, done: now + self.behaviour.run_time });
         }
         self.running.iter().map(|job| job.done).min()
     }
@@ -166,10 +162,7 @@
     pub fn finish_jobs(&mut self, now: Timestamp) -> Vec<Key> {
         let finished: Vec<Job> = self.running.extract_if(.., |job| job.done <= now).collect();
         for job in &finished {
-            let head = Head {
-                request: job.request,
-                upstream: self.ip,
-            };
+            let head = Head { request: job.request, upstream: self.ip };
             if let Some(connection) = self.connections.get_mut(&job.key) {
                 let socket = connection.host.socket(connection.handle);
                 // A caller that has gone no longer takes its answer.
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -87,63 +87,21 @@
 }
 
 enum Event {
-    Packet {
-        entry: usize,
-        lives: u32,
-        origin: Origin,
-        bytes: Box<[u8]>,
-    },
-    Message {
-        entry: usize,
-        from: Id,
-        message: Message,
-    },
-    Heartbeat {
-        entry: usize,
-        heartbeat: Heartbeat,
-    },
-    ToUpstream {
-        ip: Ipv4Addr,
-        bytes: Box<[u8]>,
-    },
-    ToCaller {
-        bytes: Box<[u8]>,
-    },
-    EngineTick {
-        entry: usize,
-        lives: u32,
-    },
-    ViewTick {
-        entry: usize,
-        lives: u32,
-    },
-    SendHeartbeats {
-        entry: usize,
-        lives: u32,
-    },
-    Services {
-        entry: usize,
-        lives: u32,
-        services: Services,
-    },
-    Stop {
-        entry: usize,
-        lives: u32,
-    },
-    Start {
-        entry: usize,
-    },
+    Packet { entry: usize, lives: u32, origin: Origin, bytes: Box<[u8]> },
+    Message { entry: usize, from: Id, message: Message },
+    Heartbeat { entry: usize, heartbeat: Heartbeat },
+    ToUpstream { ip: Ipv4Addr, bytes: Box<[u8]> },
+    ToCaller { bytes: Box<[u8]> },
+    EngineTick { entry: usize, lives: u32 },
+    ViewTick { entry: usize, lives: u32 },
+    SendHeartbeats { entry: usize, lives: u32 },
+    Services { entry: usize, lives: u32, services: Services },
+    Stop { entry: usize, lives: u32 },
+    Start { entry: usize },
     Health,
-    Caller {
-        index: usize,
-    },
-    Connection {
-        ip: Ipv4Addr,
-        key: Key,
-    },
-    Jobs {
-        ip: Ipv4Addr,
-    },
+    Caller { index: usize },
+    Connection { ip: Ipv4Addr, key: Key },
+    Jobs { ip: Ipv4Addr },
 }
 
 /// Everything.
@@ -174,9 +132,7 @@
 
 impl std::fmt::Debug for World {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("World")
-            .field("now", &self.now)
-            .finish_non_exhaustive()
+        f.debug_struct("World").field("now", &self.now).finish_non_exhaustive()
     }
 }
 
@@ -184,26 +140,16 @@
     /// A world that has settled: all entries are up and know each other.
     pub fn new(cfg: Config) -> Self {
         let address = SocketAddrV4::new(Ipv4Addr::new(10, 10, 0, 1), 4000);
-        let behaviour = Behaviour {
-            up: true,
-            refuses: false,
-            slots: cfg.slots,
-            run_time: cfg.run_time,
-        };
+        let behaviour =
+            Behaviour { up: true, refuses: false, slots: cfg.slots, run_time: cfg.run_time };
         let upstreams: IndexMap<_, _> = (0..cfg.upstreams)
             .map(|n| (n % 3, Ipv4Addr::new(127, 2, n % 3, n + 1)))
             .map(|(zone, ip)| (ip, Upstream::new(ip, zone, address, behaviour)))
             .collect();
-        let active = flow::service::Upstream {
-            stage: Stage::Active,
-            weight: 1,
-        };
+        let active = flow::service::Upstream { stage: Stage::Active, weight: 1 };
         let service = Service {
             name: "order-desk".to_owned(),
-            address: Address {
-                protocol: Protocol::Tcp,
-                socket: address,
-            },
+            address: Address { protocol: Protocol::Tcp, socket: address },
             upstreams: upstreams.keys().map(|ip| (*ip, active.clone())).collect(),
             limits: cfg.limits,
             repeatable: false,
@@ -274,14 +220,7 @@
             let at = self.now + slowest.mul_f64(self.rng.f64());
             let services = self.services();
             let lives = self.entries[entry].lives;
-            self.push(
-                at,
-                Event::Services {
-                    entry,
-                    lives,
-                    services,
-                },
-            );
+            self.push(at, Event::Services { entry, lives, services });
         }
     }
 
@@ -316,23 +255,14 @@
 
     /// Sum of a counter over all entries, also those that are gone.
     pub fn count(&self, count: flow::Count) -> u64 {
-        let live = self
-            .entries
-            .iter()
-            .map(|entry| entry.engine.counters().get(count));
-        let gone = self
-            .gone_counters
-            .iter()
-            .map(|counters| counters.get(count));
+        let live = self.entries.iter().map(|entry| entry.engine.counters().get(count));
+        let gone = self.gone_counters.iter().map(|counters| counters.get(count));
         live.chain(gone).sum()
     }
 
     /// Flows that are open now.
     pub fn open_flows(&self) -> usize {
-        self.callers
-            .iter()
-            .filter(|caller| caller.is_open())
-            .count()
+        self.callers.iter().filter(|caller| caller.is_open()).count()
     }
 
     /// The largest table of any entry.
@@ -344,31 +274,16 @@
     fn handle(&mut self, event: Event) {
         let now = self.now;
         match event {
-            Event::Packet {
-                entry,
-                lives,
-                origin,
-                bytes,
-            } => {
+            Event::Packet { entry, lives, origin, bytes } => {
                 self.on_packet(entry, lives, origin, bytes);
             }
-            Event::Message {
-                entry,
-                from,
-                message,
-            } => {
-                let again = || Event::Message {
-                    entry,
-                    from,
-                    message,
-                };
+            Event::Message { entry, from, message } => {
+                let again = || Event::Message { entry, from, message };
                 if !self.can_work(entry, again) {
                     return;
                 }
                 let mut out = Vec::new();
-                self.entries[entry]
-                    .engine
-                    .on_message(now, from, message, &mut out);
+                self.entries[entry].engine.on_message(now, from, message, &mut out);
                 self.carry_out(entry, out, &[]);
             }
             Event::Heartbeat { entry, heartbeat } => {
@@ -388,11 +303,7 @@
                 }
             }
             Event::SendHeartbeats { entry, lives } => self.send_heartbeats(entry, lives),
-            Event::Services {
-                entry,
-                lives,
-                services,
-            } => {
+            Event::Services { entry, lives, services } => {
                 if self.lives(entry, lives) {
                     self.entries[entry].set_services(now, services);
                 }
@@ -425,24 +336,14 @@
         }
         let wake = self.entries[entry].frozen_until;
         if wake > self.now {
-            self.push(
-                wake,
-                Event::Packet {
-                    entry,
-                    lives,
-                    origin,
-                    bytes,
-                },
-            );
+            self.push(wake, Event::Packet { entry, lives, origin, bytes });
             return;
         }
         let Ok(view) = View::parse(&bytes) else {
             return;
         };
         let mut out = Vec::new();
-        self.entries[entry]
-            .engine
-            .on_packet(self.now, origin, &view, &mut out);
+        self.entries[entry].engine.on_packet(self.now, origin, &view, &mut out);
         self.carry_out(entry, out, &bytes);
     }
 
@@ -476,10 +377,7 @@
         if !self.lives(entry, lives) {
             return;
         }
-        self.push(
-            self.now + HEARTBEAT_EVERY,
-            Event::SendHeartbeats { entry, lives },
-        );
+        self.push(self.now + HEARTBEAT_EVERY, Event::SendHeartbeats { entry, lives });
         if !self.entries[entry].is_up(self.now) {
             return;
         }
@@ -489,13 +387,7 @@
             let cut = self.links.cuts_entries(own, self.entries[other].id);
             if other != entry && !cut {
                 let at = self.now + INNER_DELAY;
-                self.push(
-                    at,
-                    Event::Heartbeat {
-                        entry: other,
-                        heartbeat,
-                    },
-                );
+                self.push(at, Event::Heartbeat { entry: other, heartbeat });
             }
         }
     }
@@ -523,27 +415,18 @@
         let own = self.entries[entry].id;
         match to {
             Target::Caller => {
-                self.deliver(CALLER_DELAY, || Event::ToCaller {
-                    bytes: bytes.into(),
-                });
+                self.deliver(CALLER_DELAY, || Event::ToCaller { bytes: bytes.into() });
             }
             Target::Upstream { ip, path } => {
                 if !self.links.cuts_upstream(own, ip, path % SOURCE_PORTS) {
-                    self.deliver(INNER_DELAY, || Event::ToUpstream {
-                        ip,
-                        bytes: bytes.into(),
-                    });
+                    self.deliver(INNER_DELAY, || Event::ToUpstream { ip, bytes: bytes.into() });
                 }
             }
             Target::Peer { to, upstream, hops } => {
                 let Some(other) = self.reach(own, to) else {
                     return;
                 };
-                let origin = Origin::Peer(flow::action::Relay {
-                    from: own,
-                    upstream,
-                    hops,
-                });
+                let origin = Origin::Peer(flow::action::Relay { from: own, upstream, hops });
                 let lives = self.entries[other].lives;
                 self.deliver(INNER_DELAY, || Event::Packet {
                     entry: other,
@@ -570,11 +453,7 @@
         let copies = 1 + usize::from(self.rng.f64() < self.links.duplication);
         for _ in 0..copies {
             let late = self.rng.f64() < self.links.reordering;
-            let factor = if late {
-                1.0 + 9.0 * self.rng.f64()
-            } else {
-                1.0
-            };
+            let factor = if late { 1.0 + 9.0 * self.rng.f64() } else { 1.0 };
             self.push(self.now + delay.mul_f64(factor), event());
         }
     }
@@ -588,12 +467,7 @@
             let entry = self.healthy[self.rng.usize(..self.healthy.len())];
             let lives = self.entries[entry].lives;
             let bytes: Box<[u8]> = packet.into();
-            self.deliver(delay, || Event::Packet {
-                entry,
-                lives,
-                origin,
-                bytes: bytes.clone(),
-            });
+            self.deliver(delay, || Event::Packet { entry, lives, origin, bytes: bytes.clone() });
         }
     }
 
@@ -622,10 +496,7 @@
     }
 
     fn wake_connection(&mut self, ip: Ipv4Addr, key: Key) {
-        let at = self
-            .upstreams
-            .get_mut(&ip)
-            .and_then(|u| u.next_at(self.now, &key));
+        let at = self.upstreams.get_mut(&ip).and_then(|u| u.next_at(self.now, &key));
         if let Some(at) = at {
             self.push(at, Event::Connection { ip, key });
         }
@@ -680,10 +551,7 @@
     }
 
     fn wake_caller(&mut self, index: usize, at: Timestamp) {
-        if self
-            .caller_wake
-            .get(&index)
-            .is_some_and(|earlier| *earlier <= at && *earlier > self.now)
+        if self.caller_wake.get(&index).is_some_and(|earlier| *earlier <= at && *earlier > self.now)
         {
             return;
         }
@@ -693,8 +561,7 @@
 
     fn start_again(&mut self, entry: usize) {
         let lives = self.entries[entry].lives + 1;
-        self.gone_counters
-            .push(self.entries[entry].engine.counters().clone());
+        self.gone_counters.push(self.entries[entry].engine.counters().clone());
         self.entries[entry] = self.new_entry(entry);
         self.entries[entry].lives = lives;
         self.schedule_entry(entry);
@@ -720,14 +587,7 @@
         let lives = self.entries[entry].lives;
         let now = self.now;
         let services = self.services();
-        self.push(
-            now + SERVICES_AFTER_START,
-            Event::Services {
-                entry,
-                lives,
-                services,
-            },
-        );
+        self.push(now + SERVICES_AFTER_START, Event::Services { entry, lives, services });
         self.push(now, Event::EngineTick { entry, lives });
         self.push(now, Event::ViewTick { entry, lives });
         self.push(now, Event::SendHeartbeats { entry, lives });
@@ -758,6 +618,5 @@
 }
 
 fn caller_index(ip: Ipv4Addr) -> usize {
-    ip.to_bits()
-        .wrapping_sub(Ipv4Addr::new(10, 64, 0, 1).to_bits()) as usize
+    ip.to_bits().wrapping_sub(Ipv4Addr::new(10, 64, 0, 1).to_bits()) as usize
 }
--- a/crates/fakes/tests/planned.rs
+++ b/crates/fakes/tests/planned.rs
@@ -28,10 +28,7 @@
 }
 
 fn check_rolling_restart(seed: u64) {
-    let mut world = World::new(Config {
-        seed,
-        ..Config::default()
-    });
+    let mut world = World::new(Config { seed, ..Config::default() });
     let end = Duration::from_secs(20);
     let plans = flows(&world, 200, Duration::from_secs(1), end);
     world.add_callers(plans);
@@ -44,17 +41,8 @@
     }
     world.run_for(Duration::from_secs(20));
     let facts = &world.seen;
-    assert_eq!(
-        facts.broken_total(),
-        0,
-        "seed {seed}: broken {:?}",
-        seen.broken
-    );
-    assert_eq!(
-        (facts.wrong, facts.doubled, facts.foreign),
-        (0, 0, 0),
-        "seed {seed}"
-    );
+    assert_eq!(facts.broken_total(), 0, "seed {seed}: broken {:?}", facts.broken);
+    assert_eq!((facts.wrong, facts.doubled, facts.foreign), (0, 0, 0), "seed {seed}");
     assert_eq!((facts.refused, facts.unanswered), (0, 0), "seed {seed}");
     assert_eq!(facts.opened, 4_200, "seed {seed}");
 }
--- a/crates/flow/src/engine.rs
+++ b/crates/flow/src/engine.rs
@@ -155,16 +155,9 @@
     ) {
         match message {
             Message::Ask(key) => {
-                out.push(Action::Tell {
-                    to: from,
-                    message: self.answer_ask(key),
-                });
+                out.push(Action::Tell { to: from, message: self.answer_ask(key) });
             }
-            Message::Known {
-                key,
-                upstream,
-                opening,
-            } => {
+            Message::Known { key, upstream, opening } => {
                 self.on_known(now, key, upstream, opening, out);
             }
             Message::Unknown(key) => self.on_unknown(now, key, out),
@@ -205,13 +198,9 @@
 
     /// Takes over the services. Pools keep their counts.
     pub fn set_services(&mut self, now: Timestamp, services: Services) {
-        self.pools
-            .retain(|address, _| services.contains_key(address));
+        self.pools.retain(|address, _| services.contains_key(address));
         for (address, service) in &services {
-            self.pools
-                .entry(*address)
-                .or_default()
-                .apply(now, &service.specs());
+            self.pools.entry(*address).or_default().apply(now, &service.specs());
         }
         self.services = services;
     }
@@ -276,10 +265,7 @@
     }
 
     fn decide_by_learned(&mut self, now: Timestamp, packet: &Packet<'_>) -> Option<Verdict> {
-        let known = self
-            .learned
-            .get(&packet.key)
-            .map(|learned| learned.upstream);
+        let known = self.learned.get(&packet.key).map(|learned| learned.upstream);
         match (packet.side, known) {
             (Side::Caller, Some(ip)) => Some(self.forward_to(now, packet, ip)),
             (Side::Caller, None) => None,
@@ -332,28 +318,18 @@
             return Verdict::Drop(Count::NoHome);
         }
         self.counters.add(Count::Relayed);
-        Verdict::Forward(Target::Peer {
-            to: home,
-            upstream: packet.upstream(),
-            hops,
-        })
+        Verdict::Forward(Target::Peer { to: home, upstream: packet.upstream(), hops })
     }
 
     /// Carries out what is not a plain forward of the packet at hand.
     pub(crate) fn answer(&mut self, verdict: Verdict, packet: &Packet<'_>, out: &mut Vec<Action>) {
         match verdict {
-            Verdict::Forward(to) => out.push(Action::Emit {
-                bytes: packet.view.bytes.into(),
-                to,
-            }),
+            Verdict::Forward(to) => out.push(Action::Emit { bytes: packet.view.bytes.into(), to }),
             Verdict::Reset => self.emit_reset(packet, out),
             Verdict::Refuse => {
                 self.counters.add(Count::Refused);
                 let bytes = reply::reset(packet.view).or_else(|| reply::unreachable(packet.view));
-                out.extend(bytes.map(|bytes| Action::Emit {
-                    bytes,
-                    to: Target::Caller,
-                }));
+                out.extend(bytes.map(|bytes| Action::Emit { bytes, to: Target::Caller }));
             }
             Verdict::Held => {}
             Verdict::Drop(count) => self.counters.add(count),
@@ -369,10 +345,7 @@
     }
 
     pub(crate) fn upstream_target(&self, key: &Key, ip: Ipv4Addr) -> Target {
-        Target::Upstream {
-            ip,
-            path: key.hash(self.cfg.hash).to_le_bytes()[7],
-        }
+        Target::Upstream { ip, path: key.hash(self.cfg.hash).to_le_bytes()[7] }
     }
 
     pub(crate) fn slot(&self, key: &Key) -> Slot {
@@ -388,10 +361,7 @@
     }
 
     pub(crate) fn learn(&mut self, now: Timestamp, key: Key, upstream: Ipv4Addr) {
-        let learned = Learned {
-            upstream,
-            seen_s: now.as_secs() as u32,
-        };
+        let learned = Learned { upstream, seen_s: now.as_secs() as u32 };
         let evicted = self.learned.insert(key, learned, |learned| learned.seen_s);
         if evicted.is_some() {
             self.counters.add(Count::Evicted);
@@ -399,11 +369,7 @@
     }
 
     pub(crate) fn forget(&mut self, key: &Key, upstream: Ipv4Addr) {
-        if self
-            .learned
-            .get(key)
-            .is_some_and(|learned| learned.upstream == upstream)
-        {
+        if self.learned.get(key).is_some_and(|learned| learned.upstream == upstream) {
             self.learned.remove(key);
         }
     }
@@ -412,9 +378,7 @@
         let now_s = now.as_secs() as u32;
         let services = &self.services;
         self.learned.sweep(SWEEP_PER_TICK, |key, learned| {
-            let idle = services
-                .get(&key.address())
-                .map_or(Duration::ZERO, |service| service.idle);
+            let idle = services.get(&key.address()).map_or(Duration::ZERO, |service| service.idle);
             u64::from(now_s.saturating_sub(learned.seen_s)) > idle.as_secs()
         });
         self.sweep_flows(now);
@@ -426,10 +390,9 @@
         let (side, relay) = match origin {
             Origin::Caller => (Side::Caller, None),
             Origin::Upstream(ip) => (Side::Upstream(ip), None),
-            Origin::Peer(relay) => (
-                relay.upstream.map_or(Side::Caller, Side::Upstream),
-                Some(relay),
-            ),
+            Origin::Peer(relay) => {
+                (relay.upstream.map_or(Side::Caller, Side::Upstream), Some(relay))
+            }
         };
         Self::from_side(side, view, relay)
     }
@@ -439,12 +402,7 @@
             Side::Caller => Key::of_request(view),
             Side::Upstream(_) => Key::of_reply(view),
         };
-        Self {
-            key,
-            side,
-            view,
-            relay,
-        }
+        Self { key, side, view, relay }
     }
 
     pub(crate) fn upstream(&self) -> Option<Ipv4Addr> {
--- a/crates/flow/src/home.rs
+++ b/crates/flow/src/home.rs
@@ -88,14 +88,7 @@
 
     fn new(now: Timestamp, upstream: Ipv4Addr, isn: u32, state: State) -> Self {
         let seen_s = now.as_secs() as u32;
-        Self {
-            upstream,
-            seen_s,
-            isn,
-            state,
-            fin_caller: false,
-            fin_upstream: false,
-        }
+        Self { upstream, seen_s, isn, state, fin_caller: false, fin_upstream: false }
     }
 
     /// Order of eviction: closed flows first, then unanswered ones, then the longest silent.
@@ -325,10 +318,7 @@
         let opening = self.openings.swap_remove(&key);
         let tried = opening.map(|opening| opening.tried).unwrap_or_default();
         if let Some(pool) = self.pools.get_mut(&key.address()) {
-            tried
-                .iter()
-                .filter(|other| **other != ip)
-                .for_each(|other| pool.close(*other));
+            tried.iter().filter(|other| **other != ip).for_each(|other| pool.close(*other));
         }
         if let Some(flow) = self.flows.get_mut(&key) {
             flow.upstream = ip;
@@ -409,11 +399,7 @@
     fn broadcast_forget(&mut self, key: Key, upstream: Ipv4Addr, out: &mut Vec<Action>) {
         let message = Message::Forget { key, upstream };
         let others = self.homes.members().iter().filter(|id| **id != self.cfg.id);
-        out.extend(
-            others
-                .take(MAX_FORGET)
-                .map(|to| Action::Tell { to: *to, message }),
-        );
+        out.extend(others.take(MAX_FORGET).map(|to| Action::Tell { to: *to, message }));
         self.forget(&key, upstream);
     }
 
@@ -430,11 +416,7 @@
                 dead.push(*key);
                 continue;
             };
-            let lifetime = if opening.moved {
-                SETTLE_TIME
-            } else {
-                OPENING_LIFETIME
-            };
+            let lifetime = if opening.moved { SETTLE_TIME } else { OPENING_LIFETIME };
             if now.since(opening.started) > lifetime {
                 dead.push(*key);
             } else if !opening.moved
@@ -480,10 +462,7 @@
             flow.upstream = upstream;
         }
         self.counters.add(Count::OpeningRetried);
-        out.push(Action::Emit {
-            bytes,
-            to: self.upstream_target(&key, upstream),
-        });
+        out.push(Action::Emit { bytes, to: self.upstream_target(&key, upstream) });
         true
     }
 
@@ -524,10 +503,7 @@
 
     /// Takes a removed flow out of the pool's counts.
     fn release(&mut self, key: &Key, flow: &HomeFlow) {
-        let opening = self
-            .openings
-            .swap_remove(key)
-            .filter(|opening| !opening.moved);
+        let opening = self.openings.swap_remove(key).filter(|opening| !opening.moved);
         let Some(pool) = self.pools.get_mut(&key.address()) else {
             return;
         };
@@ -539,11 +515,7 @@
     }
 
     fn close_if_finished(&mut self, key: &Key) {
-        if self
-            .flows
-            .get(key)
-            .is_some_and(|flow| flow.fin_caller && flow.fin_upstream)
-        {
+        if self.flows.get(key).is_some_and(|flow| flow.fin_caller && flow.fin_upstream) {
             self.start_closing(key);
         }
     }
@@ -564,9 +536,7 @@
         let services = &self.services;
         let mut expired = Vec::new();
         self.flows.sweep(SWEEP_PER_TICK, |key, flow| {
-            let idle = services
-                .get(&key.address())
-                .map_or(Duration::ZERO, |service| service.idle);
+            let idle = services.get(&key.address()).map_or(Duration::ZERO, |service| service.idle);
             let silent = (now.as_secs() as u32).saturating_sub(flow.seen_s);
             if u64::from(silent) > flow.lifetime(idle).as_secs() {
                 expired.push(*key);
--- a/crates/flow/src/homes.rs
+++ b/crates/flow/src/homes.rs
@@ -31,16 +31,8 @@
 impl Homes {
     /// Homes before any entry is known.
     pub fn new(now: Timestamp, key: HashKey) -> Self {
-        let home = Home {
-            current: None,
-            previous: None,
-            moved_at: now,
-        };
-        Self {
-            key,
-            members: Vec::new(),
-            slots: vec![home; SLOTS],
-        }
+        let home = Home { current: None, previous: None, moved_at: now };
+        Self { key, members: Vec::new(), slots: vec![home; SLOTS] }
     }
 
     /// Takes over a new list of live entries and moves the slots whose home changes.
--- a/crates/flow/src/key.rs
+++ b/crates/flow/src/key.rs
@@ -59,10 +59,7 @@
     /// The address of the flow's service.
     pub fn address(&self) -> Address {
         let socket = SocketAddrV4::new(self.service_ip, self.service_port);
-        Address {
-            protocol: self.protocol,
-            socket,
-        }
+        Address { protocol: self.protocol, socket }
     }
 
     /// The caller's end of the flow.
--- a/crates/flow/src/recovery.rs
+++ b/crates/flow/src/recovery.rs
@@ -53,11 +53,7 @@
     /// Other entries were asked.
     Asking { open: usize, until: Timestamp },
     /// The first held packet was offered to `waiting`; `untried` come next.
-    Probing {
-        waiting: Vec<Ipv4Addr>,
-        untried: Vec<Ipv4Addr>,
-        until: Timestamp,
-    },
+    Probing { waiting: Vec<Ipv4Addr>, untried: Vec<Ipv4Addr>, until: Timestamp },
 }
 
 impl Pending {
@@ -86,10 +82,7 @@
         packet: &Packet<'_>,
         out: &mut Vec<Action>,
     ) -> Verdict {
-        let held = Held {
-            bytes: packet.view.bytes.into(),
-            side: packet.side,
-        };
+        let held = Held { bytes: packet.view.bytes.into(), side: packet.side };
         if let Some(pending) = self.pending.get_mut(&packet.key) {
             if pending.held.len() >= MAX_HELD {
                 return Verdict::Drop(Count::RecoveryBusy);
@@ -101,17 +94,8 @@
             return Verdict::Drop(Count::RecoveryBusy);
         }
         let asked = self.peers_to_ask(&packet.key);
-        let phase = Phase::Asking {
-            open: asked.len(),
-            until: now + ASK_TIMEOUT,
-        };
-        self.pending.insert(
-            packet.key,
-            Pending {
-                held: vec![held],
-                phase,
-            },
-        );
+        let phase = Phase::Asking { open: asked.len(), until: now + ASK_TIMEOUT };
+        self.pending.insert(packet.key, Pending { held: vec![held], phase });
         if let Some(ip) = self.learned_holder(packet) {
             self.counters.add(Count::AskAnswered);
             self.resolve(now, packet.key, ip, State::Recovered, out);
@@ -129,25 +113,13 @@
     pub(crate) fn answer_ask(&self, key: Key) -> Message {
         if let Some(flow) = self.flows.get(&key) {
             let opening = !flow.is_settled();
-            return Message::Known {
-                key,
-                upstream: flow.upstream,
-                opening,
-            };
+            return Message::Known { key, upstream: flow.upstream, opening };
         }
         if let Some(upstream) = self.openings.get(&key).and_then(Opening::upstream) {
-            return Message::Known {
-                key,
-                upstream,
-                opening: true,
-            };
+            return Message::Known { key, upstream, opening: true };
         }
         match self.learned.get(&key) {
-            Some(learned) => Message::Known {
-                key,
-                upstream: learned.upstream,
-                opening: false,
-            },
+            Some(learned) => Message::Known { key, upstream: learned.upstream, opening: false },
             None => Message::Unknown(key),
         }
     }
@@ -211,12 +183,8 @@
         let due = |pending: &Pending| match &pending.phase {
             Phase::Asking { until, .. } | Phase::Probing { until, .. } => *until <= now,
         };
-        let late: Vec<Key> = self
-            .pending
-            .iter()
-            .filter(|(_, pending)| due(pending))
-            .map(|(key, _)| *key)
-            .collect();
+        let late: Vec<Key> =
+            self.pending.iter().filter(|(_, pending)| due(pending)).map(|(key, _)| *key).collect();
         for key in late {
             match self.pending.get(&key).map(|pending| &pending.phase) {
                 Some(Phase::Asking { .. }) => self.after_asking(now, key, out),
@@ -265,11 +233,7 @@
             return self.resolve(now, key, only, State::Recovered, out);
         }
         if let Some(pending) = self.pending.get_mut(&key) {
-            pending.phase = Phase::Probing {
-                waiting: Vec::new(),
-                untried,
-                until: now,
-            };
+            pending.phase = Phase::Probing { waiting: Vec::new(), untried, until: now };
         }
         self.probe_next(now, key, out);
     }
@@ -297,10 +261,7 @@
         let Some(service) = self.service(key) else {
             return Vec::new();
         };
-        let usable = service
-            .upstreams
-            .iter()
-            .filter(|(_, upstream)| upstream.stage != Stage::Out);
+        let usable = service.upstreams.iter().filter(|(_, upstream)| upstream.stage != Stage::Out);
         usable.map(|(ip, _)| *ip).collect()
     }
 
@@ -312,12 +273,7 @@
         let Some(pending) = self.pending.get_mut(&key) else {
             return;
         };
-        let Phase::Probing {
-            waiting,
-            untried,
-            until,
-        } = &mut pending.phase
-        else {
+        let Phase::Probing { waiting, untried, until } = &mut pending.phase else {
             return;
         };
         let count = untried.len().min(PROBE_BATCH);
@@ -334,10 +290,7 @@
         };
         for ip in batch {
             self.counters.add(Count::Probed);
-            out.push(Action::Emit {
-                bytes: bytes.clone(),
-                to: self.upstream_target(&key, ip),
-            });
+            out.push(Action::Emit { bytes: bytes.clone(), to: self.upstream_target(&key, ip) });
         }
     }
 
@@ -346,10 +299,7 @@
         let Some(pending) = self.pending.get_mut(&key) else {
             return;
         };
-        let Phase::Probing {
-            waiting, untried, ..
-        } = &mut pending.phase
-        else {
+        let Phase::Probing { waiting, untried, .. } = &mut pending.phase else {
             return;
         };
         waiting.retain(|other| *other != ip);
@@ -373,13 +323,8 @@
         let Some(held) = pending.held.first() else {
             return;
         };
-        let reset = View::parse(&held.bytes)
-            .ok()
-            .and_then(|view| reply::reset(&view));
-        out.extend(reset.map(|bytes| Action::Emit {
-            bytes,
-            to: Target::Caller,
-        }));
+        let reset = View::parse(&held.bytes).ok().and_then(|view| reply::reset(&view));
+        out.extend(reset.map(|bytes| Action::Emit { bytes, to: Target::Caller }));
     }
 
     /// The flow's upstream is found: the held packets go there.
--- a/crates/flow/src/table.rs
+++ b/crates/flow/src/table.rs
@@ -21,11 +21,7 @@
 impl<V> Table<V> {
     /// An empty table for at most `bound` flows.
     pub fn new(bound: usize) -> Self {
-        Self {
-            map: IndexMap::default(),
-            bound: bound.max(1),
-            hand: 0,
-        }
+        Self { map: IndexMap::default(), bound: bound.max(1), hand: 0 }
     }
 
     /// The value of a flow.
@@ -70,11 +66,7 @@
             *slot = value;
             return None;
         }
-        let evicted = if self.map.len() >= self.bound {
-            self.evict(rank)
-        } else {
-            None
-        };
+        let evicted = if self.map.len() >= self.bound { self.evict(rank) } else { None };
         self.map.insert(key, value);
         evicted
     }
--- a/crates/flow/tests/moved_slots.rs
+++ b/crates/flow/tests/moved_slots.rs
@@ -23,27 +23,13 @@
 
     engine.set_members(NOW, &[PEER], BOTH);
     let late = NOW + Duration::from_millis(400);
-    assert_eq!(
-        support::tick(&mut engine, late),
-        [],
-        "retried an opening of another home"
-    );
+    assert_eq!(support::tick(&mut engine, late), [], "retried an opening of another home");
 
     let mut out = Vec::new();
     let key = support::key(Protocol::Tcp);
     engine.on_message(late, PEER, Message::Ask(key), &mut out);
-    let known = Message::Known {
-        key,
-        upstream: first,
-        opening: true,
-    };
-    assert_eq!(
-        out,
-        [Action::Tell {
-            to: PEER,
-            message: known
-        }]
-    );
+    let known = Message::Known { key, upstream: first, opening: true };
+    assert_eq!(out, [Action::Tell { to: PEER, message: known }]);
 
     let back = NOW + SETTLED;
     engine.set_members(back, &[SELF, PEER], BOTH);
@@ -64,18 +50,8 @@
     let mut out = Vec::new();
     let key = support::key(Protocol::Tcp);
     engine.on_message(NOW, PEER, Message::Ask(key), &mut out);
-    let known = Message::Known {
-        key,
-        upstream,
-        opening: false,
-    };
-    assert_eq!(
-        out,
-        [Action::Tell {
-            to: PEER,
-            message: known
-        }]
-    );
+    let known = Message::Known { key, upstream, opening: false };
+    assert_eq!(out, [Action::Tell { to: PEER, message: known }]);
     assert_eq!(engine.flow_count(), 0);
 }
 
--- a/crates/flow/tests/support/mod.rs
+++ b/crates/flow/tests/support/mod.rs
@@ -50,9 +50,7 @@
         builder = builder.ack(ack);
     }
     let mut buf = Vec::new();
-    builder
-        .write(&mut buf, tcp.payload)
-        .expect("a vector takes all");
+    builder.write(&mut buf, tcp.payload).expect("a vector takes all");
     buf
 }
 
@@ -60,81 +58,39 @@
     let ip = PacketBuilder::ipv4(src.ip().octets(), dst.ip().octets(), 64);
     let builder = ip.udp(src.port(), dst.port());
     let mut buf = Vec::new();
-    builder
-        .write(&mut buf, payload)
-        .expect("a vector takes all");
+    builder.write(&mut buf, payload).expect("a vector takes all");
     buf
 }
 
 pub fn syn() -> Vec<u8> {
-    segment(
-        CALLER,
-        SERVICE,
-        Tcp {
-            syn: true,
-            seq: 1_000,
-            ..Tcp::default()
-        },
-    )
+    segment(CALLER, SERVICE, Tcp { syn: true, seq: 1_000, ..Tcp::default() })
 }
 
 pub fn syn_ack(isn: u32) -> Vec<u8> {
-    let tcp = Tcp {
-        syn: true,
-        ack: Some(1_001),
-        seq: isn,
-        ..Tcp::default()
-    };
+    let tcp = Tcp { syn: true, ack: Some(1_001), seq: isn, ..Tcp::default() };
     segment(SERVICE, CALLER, tcp)
 }
 
 pub fn data() -> Vec<u8> {
-    let tcp = Tcp {
-        ack: Some(1),
-        seq: 1_001,
-        payload: b"order",
-        ..Tcp::default()
-    };
+    let tcp = Tcp { ack: Some(1), seq: 1_001, payload: b"order", ..Tcp::default() };
     segment(CALLER, SERVICE, tcp)
 }
 
 pub fn answer() -> Vec<u8> {
-    let tcp = Tcp {
-        ack: Some(1_006),
-        seq: 1,
-        payload: b"done",
-        ..Tcp::default()
-    };
+    let tcp = Tcp { ack: Some(1_006), seq: 1, payload: b"done", ..Tcp::default() };
     segment(SERVICE, CALLER, tcp)
 }
 
 pub fn reset_from_service() -> Vec<u8> {
-    segment(
-        SERVICE,
-        CALLER,
-        Tcp {
-            rst: true,
-            seq: 1,
-            ..Tcp::default()
-        },
-    )
+    segment(SERVICE, CALLER, Tcp { rst: true, seq: 1, ..Tcp::default() })
 }
 
 pub fn service(protocol: Protocol) -> Service {
-    let active = Upstream {
-        stage: Stage::Active,
-        weight: 1,
-    };
+    let active = Upstream { stage: Stage::Active, weight: 1 };
     Service {
         name: "desk".to_owned(),
-        address: Address {
-            protocol,
-            socket: SERVICE,
-        },
-        upstreams: [U1, U2, U3]
-            .into_iter()
-            .map(|ip| (ip, active.clone()))
-            .collect(),
+        address: Address { protocol, socket: SERVICE },
+        upstreams: [U1, U2, U3].into_iter().map(|ip| (ip, active.clone())).collect(),
         limits: Limits {
             flows: 1_000,
             cold_flows: 1_000,
@@ -148,10 +104,7 @@
 }
 
 pub fn services(services: impl IntoIterator<Item = Service>) -> Services {
-    services
-        .into_iter()
-        .map(|service| (service.address, service))
-        .collect()
+    services.into_iter().map(|service| (service.address, service)).collect()
 }
 
 pub fn settings() -> Settings {
@@ -205,11 +158,7 @@
         Target::Upstream { ip, .. } => Some(ip),
         Target::Caller | Target::Peer { .. } => None,
     };
-    actions
-        .iter()
-        .filter_map(target)
-        .filter_map(upstream)
-        .collect()
+    actions.iter().filter_map(target).filter_map(upstream).collect()
 }
 
 /// Whether the actions pass the packet at hand to the caller.
@@ -220,10 +169,9 @@
 /// Whether the actions send the caller a reset built here.
 pub fn resets_caller(actions: &[Action]) -> bool {
     actions.iter().any(|action| match action {
-        Action::Emit {
-            bytes,
-            to: Target::Caller,
-        } => View::parse(bytes).is_ok_and(|view| view.flags().rst),
+        Action::Emit { bytes, to: Target::Caller } => {
+            View::parse(bytes).is_ok_and(|view| view.flags().rst)
+        }
         _ => false,
     })
 }
--- a/crates/ibis-entry/src/admin.rs
+++ b/crates/ibis-entry/src/admin.rs
@@ -45,11 +45,7 @@
         .route("/metrics", get(show_metrics))
         .route("/ready", get(show_ready))
         .route("/events", get(show_events))
-        .with_state(Shared {
-            metrics,
-            ring,
-            ready,
-        });
+        .with_state(Shared { metrics, ring, ready });
     let listener = TcpListener::bind(listen).await?;
     tokio::spawn(async move { axum::serve(listener, router).await });
     Ok(())
@@ -69,11 +65,5 @@
 }
 
 async fn show_events(State(shared): State<Shared>, Query(query): Query<EventsQuery>) -> Json<Page> {
-    Json(
-        shared
-            .ring
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .since(query.since),
-    )
+    Json(shared.ring.lock().unwrap_or_else(PoisonError::into_inner).since(query.since))
 }
--- a/crates/ibis-entry/src/control/actor.rs
+++ b/crates/ibis-entry/src/control/actor.rs
@@ -155,18 +155,10 @@
         }
         let homes: Vec<Id> = view.homes.iter().copied().map(Id).collect();
         let known: Vec<Id> = self.members.peers().map(Id).collect();
-        self.command(Command::Members {
-            homes,
-            known,
-            possible: view.possible,
-        });
+        self.command(Command::Members { homes, known, possible: view.possible });
         let names: Vec<String> = view.homes.iter().map(ToString::to_string).collect();
         let detail = format!("homes={} possible={}", names.join(","), view.possible);
-        tracing::info!(
-            homes = names.join(","),
-            possible = view.possible,
-            "view changed"
-        );
+        tracing::info!(homes = names.join(","), possible = view.possible, "view changed");
         self.record(now, Kind::ViewChanged, None, detail);
         self.view = Some(view);
     }
@@ -195,10 +187,7 @@
             metrics::counter!("ibis_drop_foreign_heartbeat_total").increment(1);
             return;
         }
-        let stamp = Stamp {
-            micros: heartbeat.clock_micros,
-            counter: heartbeat.clock_counter,
-        };
+        let stamp = Stamp { micros: heartbeat.clock_micros, counter: heartbeat.clock_counter };
         self.ring().observe(now, stamp);
         self.members.on_heartbeat(
             now,
@@ -264,11 +253,7 @@
             return;
         }
         self.platform_lost = lost;
-        let kind = if lost {
-            Kind::PlatformLost
-        } else {
-            Kind::PlatformBack
-        };
+        let kind = if lost { Kind::PlatformLost } else { Kind::PlatformBack };
         tracing::info!(lost, detail, "the platform's service");
         self.record(now, kind, None, detail);
     }
@@ -320,11 +305,7 @@
     type Reply = ();
 
     async fn handle(&mut self, report: Report, _: &mut Context<Self, ()>) {
-        self.quiet_reports = if report.fabric_packets == 0 {
-            self.quiet_reports + 1
-        } else {
-            0
-        };
+        self.quiet_reports = if report.fabric_packets == 0 { self.quiet_reports + 1 } else { 0 };
         self.cold_starts = report.cold_starts;
     }
 }
@@ -340,13 +321,7 @@
             Control::Documents(documents) => {
                 let from = msg.from.to_string();
                 for document in documents.documents {
-                    self.offer(
-                        now,
-                        &document.service,
-                        document.revision,
-                        &document.text,
-                        &from,
-                    );
+                    self.offer(now, &document.service, document.revision, &document.text, &from);
                 }
             }
         }
@@ -381,15 +356,9 @@
 }
 
 fn cold_start_out(cold: &ColdStart) -> v1::ColdStart {
-    v1::ColdStart {
-        upstream: cold.upstream.to_bits(),
-        since: cold.since.as_micros(),
-    }
+    v1::ColdStart { upstream: cold.upstream.to_bits(), since: cold.since.as_micros() }
 }
 
 fn cold_start_in(cold: &v1::ColdStart) -> ColdStart {
-    ColdStart {
-        upstream: Ipv4Addr::from_bits(cold.upstream),
-        since: Timestamp(cold.since),
-    }
+    ColdStart { upstream: Ipv4Addr::from_bits(cold.upstream), since: Timestamp(cold.since) }
 }
--- a/crates/ibis-entry/src/control/run.rs
+++ b/crates/ibis-entry/src/control/run.rs
@@ -49,17 +49,12 @@
 ///
 /// Returns an error if a part can't be started or fails for good.
 pub fn run(cfg: &Settings) -> Result<(), Error> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(serve(cfg))
 }
 
 async fn serve(cfg: &Settings) -> Result<(), Error> {
-    let mut signals = (
-        signal(SignalKind::terminate())?,
-        signal(SignalKind::interrupt())?,
-    );
+    let mut signals = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let clock = Clock::start();
     let metrics = PrometheusBuilder::new().install_recorder()?;
     let ring = Arc::new(Mutex::new(Ring::new(&cfg.name, &cfg.zone, RING_EVENTS)));
@@ -68,25 +63,12 @@
     let endpoint = peers::bind(cfg, &tls)?;
     let links = peers::Links::start(cfg, &endpoint, &tls);
     let (health, ready) = tokio::sync::watch::channel(false);
-    let state = ControlState::new(
-        cfg,
-        clock,
-        Arc::clone(&ring),
-        traffic.commands.clone(),
-        links,
-        health,
-    );
+    let state =
+        ControlState::new(cfg, clock, Arc::clone(&ring), traffic.commands.clone(), links, health);
     let actor = ControlState::spawn(state);
     tokio::spawn(tick(actor.clone()));
-    tokio::spawn(peers::accept(
-        cfg.peers.clone(),
-        endpoint.clone(),
-        actor.clone(),
-    ));
-    tokio::spawn(platform_watch::run(
-        platform::Client::new(&cfg.platform)?,
-        actor.clone(),
-    ));
+    tokio::spawn(peers::accept(cfg.peers.clone(), endpoint.clone(), actor.clone()));
+    tokio::spawn(platform_watch::run(platform::Client::new(&cfg.platform)?, actor.clone()));
     let commands = traffic.commands.clone();
     let (reports, thread) = split(traffic);
     tokio::spawn(forward_reports(reports, actor.clone()));
--- a/crates/ibis-entry/src/control/services.rs
+++ b/crates/ibis-entry/src/control/services.rs
@@ -9,11 +9,7 @@
 
 /// The services of all documents in force.
 pub fn services(in_force: &IndexMap<String, InForce>) -> Services {
-    in_force
-        .values()
-        .map(|held| service(&held.document))
-        .map(|s| (s.address, s))
-        .collect()
+    in_force.values().map(|held| service(&held.document)).map(|s| (s.address, s)).collect()
 }
 
 fn service(document: &Document) -> Service {
@@ -23,15 +19,8 @@
     };
     Service {
         name: document.service.clone(),
-        address: Address {
-            protocol: document.protocol,
-            socket: document.address,
-        },
-        upstreams: document
-            .upstreams
-            .iter()
-            .map(|(ip, u)| (*ip, upstream(u)))
-            .collect(),
+        address: Address { protocol: document.protocol, socket: document.address },
+        upstreams: document.upstreams.iter().map(|(ip, u)| (*ip, upstream(u))).collect(),
         limits: Limits {
             flows: document.max_flows,
             cold_flows: document.cold_flows,
--- a/crates/ibis-entry/src/logs.rs
+++ b/crates/ibis-entry/src/logs.rs
@@ -28,9 +28,7 @@
 /// Starts logging to standard error. A filter that can't be read is replaced by `info`.
 pub fn start(format: Format, filter: &str) {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_invalid| EnvFilter::new("info"));
-    let builder = tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr);
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
     match format {
         Format::Text => builder.with_ansi(false).init(),
         Format::Json => builder.json().init(),
--- a/crates/ibis-entry/src/peers.rs
+++ b/crates/ibis-entry/src/peers.rs
@@ -46,18 +46,12 @@
         let others = cfg.peers.iter().copied().filter(|ip| *ip != own);
         let start = |ip: Ipv4Addr| {
             let (tx, rx) = mpsc::channel(QUEUE_MESSAGES);
-            let to = SocketAddr::from((ip, cfg.control_port));
-            let link = Link {
-                endpoint: endpoint.clone(),
-                client: tls.client.clone(),
-                to,
-            };
+            let to = SocketAddr::from((ip, cfg.control_target));
+            let link = Link { endpoint: endpoint.clone(), client: tls.client.clone(), to };
             tokio::spawn(link.run(rx));
             (ip, tx)
         };
-        Self {
-            queues: others.map(start).collect(),
-        }
+        Self { queues: others.map(start).collect() }
     }
 
     /// Sends a message to one peer; dropped if the peer is too slow.
@@ -111,10 +105,7 @@
 
     async fn connect(&self) -> Option<Connection> {
         let name = self.to.ip().to_string();
-        let connecting = self
-            .endpoint
-            .connect_with(self.client.clone(), self.to, &name)
-            .ok()?;
+        let connecting = self.endpoint.connect_with(self.client.clone(), self.to, &name).ok()?;
         time::timeout(SEND_TIMEOUT, connecting).await.ok()?.ok()
     }
 }
--- a/crates/ibis-entry/src/platform_watch.rs
+++ b/crates/ibis-entry/src/platform_watch.rs
@@ -75,9 +75,5 @@
 fn document(kv: &KeyValue) -> Option<Document> {
     let service = kv.key.strip_prefix(keys::SERVICES)?.to_owned();
     let text = String::from_utf8_lossy(&kv.value).into_owned();
-    Some(Document {
-        service,
-        revision: kv.revision,
-        text,
-    })
+    Some(Document { service, revision: kv.revision, text })
 }
--- a/crates/ibis-entry/src/settings.rs
+++ b/crates/ibis-entry/src/settings.rs
@@ -45,6 +45,18 @@
     help: "UDP port for control messages between entries, the same on all",
     default: Some("7101"),
 };
+const PEER_TARGET: Setting = Setting {
+    flag: "--peer-target",
+    env: "IBIS_PEER_TARGET",
+    help: "UDP port at which others' --peer-port is reached; 0 if it is the same",
+    default: Some("0"),
+};
+const CONTROL_TARGET: Setting = Setting {
+    flag: "--control-target",
+    env: "IBIS_CONTROL_TARGET",
+    help: "UDP port at which others' --control-port is reached; 0 if it is the same",
+    default: Some("0"),
+};
 const ADMIN: Setting = Setting {
     flag: "--admin",
     env: "IBIS_ADMIN",
@@ -148,12 +160,14 @@
     default: Some("info"),
 };
 
-const ALL: [Setting; 22] = [
+const ALL: [Setting; 24] = [
     NAME,
     ZONE,
     LISTEN,
     PEER_PORT,
     CONTROL_PORT,
+    PEER_TARGET,
+    CONTROL_TARGET,
     ADMIN,
     PEERS,
     FABRIC,
@@ -186,6 +200,10 @@
     pub peer_port: u16,
     /// Port for control messages between entries.
     pub control_port: u16,
+    /// Port at which other entries' peer ports are reached.
+    pub peer_target: u16,
+    /// Port at which other entries' control ports are reached.
+    pub control_target: u16,
     /// Address of the admin port.
     pub admin: SocketAddr,
     /// All entries.
@@ -231,12 +249,14 @@
     pub fn read(mut reader: Reader) -> Result<Self, Problems> {
         let nowhere = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
         let hash_key: String = reader.value(&HASH_KEY, String::new());
-        let cfg = Self {
+        let mut cfg = Self {
             name: reader.value(&NAME, String::new()),
             zone: reader.value(&ZONE, String::new()),
             listen: reader.value(&LISTEN, nowhere),
             peer_port: reader.value(&PEER_PORT, 0),
             control_port: reader.value(&CONTROL_PORT, 0),
+            peer_target: 0,
+            control_target: 0,
             admin: reader.value(&ADMIN, nowhere.into()),
             peers: reader.list(&PEERS),
             fabric: reader.value(&FABRIC, nowhere),
@@ -255,6 +275,8 @@
             log_format: reader.value(&LOG_FORMAT, Format::Text),
             log_filter: reader.value(&LOG_FILTER, String::new()),
         };
+        cfg.peer_target = target(reader.value(&PEER_TARGET, 0), cfg.peer_port);
+        cfg.control_target = target(reader.value(&CONTROL_TARGET, 0), cfg.control_port);
         if !hash_key.is_empty() && parse_hash_key(&hash_key).is_none() {
             reader.problem(HASH_KEY.flag, "expected 32 hex digits");
         }
@@ -296,6 +318,11 @@
     settings::help("ibis-entry: forwards packets of flows to upstreams", &ALL)
 }
 
+/// The port at which others are reached: their own port unless another is given.
+fn target(given: u16, own: u16) -> u16 {
+    if given == 0 { own } else { given }
+}
+
 fn parse_hash_key(text: &str) -> Option<HashKey> {
     let all = u128::from_str_radix(text, 16).ok()?;
     (text.len() == 32).then_some(HashKey((all >> 64) as u64, all as u64))
--- a/crates/ibis-entry/src/tls.rs
+++ b/crates/ibis-entry/src/tls.rs
@@ -104,8 +104,5 @@
 }
 
 fn file_error(path: &Path, reason: &dyn std::fmt::Display) -> Error {
-    Error::File {
-        path: path.to_owned(),
-        reason: reason.to_string(),
-    }
+    Error::File { path: path.to_owned(), reason: reason.to_string() }
 }
--- a/crates/ibis-entry/src/traffic/thread.rs
+++ b/crates/ibis-entry/src/traffic/thread.rs
@@ -53,22 +53,14 @@
     let (report_tx, reports) = control::channel(1);
     let cfg = cfg.clone();
     let run = move || {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         runtime.block_on(async {
             let traffic = Traffic::new(&cfg, clock, command_rx, report_tx)?;
             traffic.run().await
         })
     };
-    let thread = std::thread::Builder::new()
-        .name("traffic".to_owned())
-        .spawn(run)?;
-    Ok(Handle {
-        commands,
-        reports,
-        thread,
-    })
+    let thread = std::thread::Builder::new().name("traffic".to_owned()).spawn(run)?;
+    Ok(Handle { commands, reports, thread })
 }
 
 struct Traffic {
@@ -149,11 +141,7 @@
     fn take_commands(&mut self) -> bool {
         loop {
             match self.commands.try_recv() {
-                Ok(Command::Members {
-                    homes,
-                    known,
-                    possible,
-                }) => {
+                Ok(Command::Members { homes, known, possible }) => {
                     let share = Share { entries: possible };
                     self.engine.set_members(self.clock.now(), &homes, share);
                     self.known = known;
@@ -212,8 +200,7 @@
     fn handle_packet(&mut self, origin: Origin, bytes: &[u8]) {
         match View::parse(bytes) {
             Ok(view) => {
-                self.engine
-                    .on_packet(self.clock.now(), origin, &view, &mut self.out);
+                self.engine.on_packet(self.clock.now(), origin, &view, &mut self.out);
                 self.carry_out(view.bytes);
             }
             Err(reason) => *self.malformed.entry(reason).or_default() += 1,
@@ -265,10 +252,7 @@
             .map(|(upstream, since): (Ipv4Addr, Timestamp)| ColdStart { upstream, since })
             .collect();
         let fabric_packets = std::mem::take(&mut self.fabric_packets);
-        let _ = self.reports.try_send(Report {
-            cold_starts,
-            fabric_packets,
-        });
+        let _ = self.reports.try_send(Report { cold_starts, fabric_packets });
     }
 
     fn update_metrics(&self) {
@@ -286,10 +270,8 @@
         metrics::gauge!("ibis_learned_flows").set(self.engine.learned_count() as f64);
         for (address, pool) in self.engine.pools() {
             for (upstream, open) in pool.counts() {
-                let labels = [
-                    ("service", address.socket.to_string()),
-                    ("upstream", upstream.to_string()),
-                ];
+                let labels =
+                    [("service", address.socket.to_string()), ("upstream", upstream.to_string())];
                 metrics::gauge!("ibis_upstream_flows", &labels).set(f64::from(open));
             }
         }
--- a/crates/ibis-entry/src/wire.rs
+++ b/crates/ibis-entry/src/wire.rs
@@ -39,20 +39,15 @@
 pub fn message(message: Message) -> Kind {
     match message {
         Message::Ask(key) => Kind::Ask(key_out(key)),
-        Message::Known {
-            key,
-            upstream,
-            opening,
-        } => Kind::Known(v1::Known {
+        Message::Known { key, upstream, opening } => Kind::Known(v1::Known {
             key: Some(key_out(key)),
             upstream: upstream.to_bits(),
             opening,
         }),
         Message::Unknown(key) => Kind::Unknown(key_out(key)),
-        Message::Forget { key, upstream } => Kind::Forget(v1::Forget {
-            key: Some(key_out(key)),
-            upstream: upstream.to_bits(),
-        }),
+        Message::Forget { key, upstream } => {
+            Kind::Forget(v1::Forget { key: Some(key_out(key)), upstream: upstream.to_bits() })
+        }
     }
 }
 
@@ -79,14 +74,7 @@
     let upstream = relay.upstream.map(Ipv4Addr::from_bits);
     let hops = u8::try_from(relay.hops).ok()?;
     let packet = relay.packet;
-    Some(Incoming::Relay {
-        relay: flow::action::Relay {
-            from,
-            upstream,
-            hops,
-        },
-        packet,
-    })
+    Some(Incoming::Relay { relay: flow::action::Relay { from, upstream, hops }, packet })
 }
 
 fn key_out(key: Key) -> v1::FlowKey {
@@ -109,10 +97,7 @@
         _ => return None,
     };
     let socket = |ip: u32, port: u32| {
-        Some(SocketAddrV4::new(
-            Ipv4Addr::from_bits(ip),
-            u16::try_from(port).ok()?,
-        ))
+        Some(SocketAddrV4::new(Ipv4Addr::from_bits(ip), u16::try_from(port).ok()?))
     };
     let caller = socket(key.caller_ip, key.caller_port)?;
     let service = socket(key.service_ip, key.service_port)?;
--- a/crates/ibisctl/src/commands.rs
+++ b/crates/ibisctl/src/commands.rs
@@ -22,19 +22,10 @@
     let (text, document) = read(file)?;
     let key = keys::service(&document.service);
     let before = client.snapshot(&key).await?;
-    let read_revision = before
-        .values
-        .iter()
-        .find(|kv| kv.key == key)
-        .map_or(0, |kv| kv.revision);
-    let written = client
-        .put_if(&key, read_revision, text.into_bytes())
-        .await?;
+    let read_revision = before.values.iter().find(|kv| kv.key == key).map_or(0, |kv| kv.revision);
+    let written = client.put_if(&key, read_revision, text.into_bytes()).await?;
     let revision = written.ok_or_else(|| Error::LostRace(document.service.clone()))?;
-    Ok(format!(
-        "{}: accepted as revision {revision}\n",
-        document.service
-    ))
+    Ok(format!("{}: accepted as revision {revision}\n", document.service))
 }
 
 /// Prints the document in force.
@@ -58,13 +49,9 @@
 }
 
 fn read(file: &str) -> Result<(String, Document), Error> {
-    let text = std::fs::read_to_string(file).map_err(|source| Error::File {
-        file: file.to_owned(),
-        source,
-    })?;
-    let document = Document::parse(&text).map_err(|problems| Error::Invalid {
-        file: file.to_owned(),
-        problems,
-    })?;
+    let text = std::fs::read_to_string(file)
+        .map_err(|source| Error::File { file: file.to_owned(), source })?;
+    let document = Document::parse(&text)
+        .map_err(|problems| Error::Invalid { file: file.to_owned(), problems })?;
     Ok((text, document))
 }
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -78,26 +78,10 @@
 impl Members {
     /// The view of an entry that has just started and expects `seeds`.
     pub fn new(now: Timestamp, own: Ipv4Addr, seeds: &[Ipv4Addr], timing: Timing) -> Self {
-        let peer = |ip: &Ipv4Addr| {
-            (
-                *ip,
-                Peer {
-                    heartbeat: None,
-                    heard: now,
-                },
-            )
-        };
+        let peer = |ip: &Ipv4Addr| (*ip, Peer { heartbeat: None, heard: now });
         let peers: IndexMap<_, _> = seeds.iter().filter(|ip| **ip != own).map(peer).collect();
         let confirming = (!peers.is_empty()).then_some(now);
-        Self {
-            own,
-            timing,
-            peers,
-            ready: false,
-            leaving: false,
-            last_tick: now,
-            confirming,
-        }
+        Self { own, timing, peers, ready: false, leaving: false, last_tick: now, confirming }
     }
 
     /// Says whether this entry can take flows.
@@ -115,19 +99,11 @@
         if heartbeat.id == self.own {
             return false;
         }
-        let peer = self.peers.entry(heartbeat.id).or_insert(Peer {
-            heartbeat: None,
-            heard: now,
-        });
-        if peer
-            .heartbeat
-            .is_some_and(|last| heartbeat.is_older_than(&last))
-        {
+        let peer = self.peers.entry(heartbeat.id).or_insert(Peer { heartbeat: None, heard: now });
+        if peer.heartbeat.is_some_and(|last| heartbeat.is_older_than(&last)) {
             return false;
         }
-        let restarted = peer
-            .heartbeat
-            .is_none_or(|last| last.incarnation != heartbeat.incarnation);
+        let restarted = peer.heartbeat.is_none_or(|last| last.incarnation != heartbeat.incarnation);
         peer.heartbeat = Some(heartbeat);
         peer.heard = now;
         self.confirming = None;
@@ -137,8 +113,7 @@
     /// Takes the platform's list of instances: a silent entry that is not on it is gone.
     pub fn on_platform_list(&mut self, now: Timestamp, listed: &[Ipv4Addr]) {
         let suspect_after = self.timing.suspect_after;
-        self.peers
-            .retain(|ip, peer| listed.contains(ip) || now.since(peer.heard) < suspect_after);
+        self.peers.retain(|ip, peer| listed.contains(ip) || now.since(peer.heard) < suspect_after);
     }
 
     /// Notes that time has passed. After a pause, peers have to be heard of again first.
@@ -152,10 +127,7 @@
                 peer.heard = now;
             }
         }
-        if self
-            .confirming
-            .is_some_and(|since| now.since(since) > self.timing.confirm)
-        {
+        if self.confirming.is_some_and(|since| now.since(since) > self.timing.confirm) {
             self.confirming = None;
         }
     }
@@ -163,22 +135,12 @@
     /// The present view.
     pub fn view(&self, now: Timestamp) -> View {
         let decides = self.ready && !self.leaving && self.confirming.is_none();
-        let alive = self
-            .peers
-            .keys()
-            .filter(|ip| self.status(now, **ip) == Some(Status::Alive));
+        let alive = self.peers.keys().filter(|ip| self.status(now, **ip) == Some(Status::Alive));
         let mut homes: Vec<Ipv4Addr> = alive.copied().collect();
         homes.extend(decides.then_some(self.own));
         homes.sort_unstable();
-        let counted = self
-            .peers
-            .values()
-            .filter(|peer| self.counts(now, peer))
-            .count();
-        View {
-            homes,
-            possible: counted as u32 + 1,
-        }
+        let counted = self.peers.values().filter(|peer| self.counts(now, peer)).count();
+        View { homes, possible: counted as u32 + 1 }
     }
 
     /// How an entry is seen; `None` if it is not known.
--- a/crates/packet/src/reply.rs
+++ b/crates/packet/src/reply.rs
@@ -14,13 +14,7 @@
 ///
 /// Returns `None` for packets that may not be answered: other protocols and RST itself.
 pub fn reset(view: &View<'_>) -> Option<Box<[u8]>> {
-    let Transport::Tcp {
-        seq,
-        ack,
-        flags,
-        payload,
-    } = view.transport
-    else {
+    let Transport::Tcp { seq, ack, flags, payload } = view.transport else {
         return None;
     };
     if flags.rst {
@@ -31,9 +25,7 @@
         ip.tcp(view.dst.port(), view.src.port(), ack, 0).rst()
     } else {
         let length = u32::from(payload) + u32::from(flags.syn) + u32::from(flags.fin);
-        ip.tcp(view.dst.port(), view.src.port(), 0, 0)
-            .rst()
-            .ack(seq.wrapping_add(length))
+        ip.tcp(view.dst.port(), view.src.port(), 0, 0).rst().ack(seq.wrapping_add(length))
     };
     let mut buf = Vec::with_capacity(builder.size(0));
     builder.write(&mut buf, &[]).ok()?;
--- a/crates/packet/src/view.rs
+++ b/crates/packet/src/view.rs
@@ -194,12 +194,7 @@
         etherparse::err::tcp::HeaderSliceError::Len(_) => Malformed::Truncated,
         etherparse::err::tcp::HeaderSliceError::Content(_) => Malformed::BadTransportHeader,
     })?;
-    let flags = TcpFlags {
-        syn: tcp.syn(),
-        ack: tcp.ack(),
-        fin: tcp.fin(),
-        rst: tcp.rst(),
-    };
+    let flags = TcpFlags { syn: tcp.syn(), ack: tcp.ack(), fin: tcp.fin(), rst: tcp.rst() };
     if flags.syn && (flags.fin || flags.rst) {
         return Err(Malformed::BadTransportHeader);
     }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -120,9 +120,7 @@
             .http2_keep_alive_interval(KEEP_ALIVE)
             .keep_alive_timeout(KEEP_ALIVE)
             .keep_alive_while_idle(true);
-        Ok(Self {
-            channel: endpoint.connect_lazy(),
-        })
+        Ok(Self { channel: endpoint.connect_lazy() })
     }
 
     /// Reads all values whose keys start with `prefix`.
@@ -138,10 +136,7 @@
         };
         let answer = limited(self.kv().range(req)).await?;
         let revision = answer.header.map_or(0, |header| header.revision as u64);
-        Ok(Snapshot {
-            revision,
-            values: answer.kvs.into_iter().map(KeyValue::from).collect(),
-        })
+        Ok(Snapshot { revision, values: answer.kvs.into_iter().map(KeyValue::from).collect() })
     }
 
     /// Writes a value if its key still has the revision that was read; `0` for a new key.
@@ -161,20 +156,12 @@
             result: compare::CompareResult::Equal.into(),
             target: compare::CompareTarget::Mod.into(),
             key: key.into(),
-            target_union: Some(compare::TargetUnion::ModRevision(
-                read_revision.cast_signed(),
-            )),
-        };
-        let put = rpc::PutRequest {
-            key: key.into(),
-            value,
-            ..Default::default()
+            target_union: Some(compare::TargetUnion::ModRevision(read_revision.cast_signed())),
         };
+        let put = rpc::PutRequest { key: key.into(), value, ..Default::default() };
         let req = rpc::TxnRequest {
             compare: vec![condition],
-            success: vec![rpc::RequestOp {
-                request: Some(request_op::Request::RequestPut(put)),
-            }],
+            success: vec![rpc::RequestOp { request: Some(request_op::Request::RequestPut(put)) }],
             failure: Vec::new(),
         };
         let answer = limited(self.kv().txn(req)).await?;
@@ -203,10 +190,7 @@
         let mut client =
             WatchClient::new(self.channel.clone()).max_decoding_message_size(MAX_ANSWER_BYTES);
         let answers = limited(client.watch(ReceiverStream::new(rx))).await?;
-        Ok(Watch {
-            answers,
-            _requests: tx,
-        })
+        Ok(Watch { answers, _requests: tx })
     }
 
     fn kv(&self) -> KvClient<Channel> {
@@ -251,10 +235,7 @@
     let kv = KeyValue::from(raw.kv?);
     Some(match kind {
         mvccpb::event::EventType::Put => Event::Put(kv),
-        mvccpb::event::EventType::Delete => Event::Deleted {
-            key: kv.key,
-            revision: kv.revision,
-        },
+        mvccpb::event::EventType::Delete => Event::Deleted { key: kv.key, revision: kv.revision },
     })
 }
 
@@ -263,8 +244,6 @@
 ) -> Result<T, Error> {
     match time::timeout(CALL_TIMEOUT, call).await {
         Ok(answer) => Ok(answer?.into_inner()),
-        Err(_elapsed) => Err(Error::Unavailable(format!(
-            "no answer within {CALL_TIMEOUT:?}"
-        ))),
+        Err(_elapsed) => Err(Error::Unavailable(format!("no answer within {CALL_TIMEOUT:?}"))),
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -55,18 +55,12 @@
 impl Reader {
     /// Reads the process's own arguments and environment.
     pub fn from_process() -> Self {
-        Self::new(std::env::args_os().skip(1).collect(), |name| {
-            std::env::var(name).ok()
-        })
+        Self::new(std::env::args_os().skip(1).collect(), |name| std::env::var(name).ok())
     }
 
     /// Reads the given arguments and environment.
     pub fn new(args: Vec<OsString>, env: fn(&str) -> Option<String>) -> Self {
-        Self {
-            args: pico_args::Arguments::from_vec(args),
-            env,
-            problems: Vec::new(),
-        }
+        Self { args: pico_args::Arguments::from_vec(args), env, problems: Vec::new() }
     }
 
     /// Whether help is asked for.
@@ -107,11 +101,7 @@
             return Vec::new();
         };
         let mut values = Vec::new();
-        for item in text
-            .split(',')
-            .map(str::trim)
-            .filter(|item| !item.is_empty())
-        {
+        for item in text.split(',').map(str::trim).filter(|item| !item.is_empty()) {
             match item.parse() {
                 Ok(value) => values.push(value),
                 Err(e) => self.problem(place.clone(), format!("\"{item}\": {e}")),
@@ -122,10 +112,7 @@
 
     /// Notes that a setting is wrong in a way only the program knows.
     pub fn problem(&mut self, setting: impl Into<String>, reason: impl Into<String>) {
-        self.problems.push(Problem {
-            setting: setting.into(),
-            reason: reason.into(),
-        });
+        self.problems.push(Problem { setting: setting.into(), reason: reason.into() });
     }
 
     /// Ends reading.
@@ -136,16 +123,9 @@
     pub fn finish(mut self) -> Result<(), Problems> {
         for arg in self.args.finish() {
             let setting = arg.to_string_lossy().into_owned();
-            self.problems.push(Problem {
-                setting,
-                reason: "unknown argument".to_owned(),
-            });
-        }
-        if self.problems.is_empty() {
-            Ok(())
-        } else {
-            Err(Problems(self.problems))
+            self.problems.push(Problem { setting, reason: "unknown argument".to_owned() });
         }
+        if self.problems.is_empty() { Ok(()) } else { Err(Problems(self.problems)) }
     }
 
     fn text(&mut self, setting: &Setting) -> Option<(String, String)> {
@@ -163,9 +143,7 @@
         if setting.default.is_none() {
             self.problem(format!("{} or {}", setting.flag, setting.env), "required");
         }
-        setting
-            .default
-            .map(|text| (setting.flag.to_owned(), text.to_owned()))
+        setting.default.map(|text| (setting.flag.to_owned(), text.to_owned()))
     }
 }
 
@@ -174,16 +152,10 @@
     let mut text = format!("{about}\n\nSettings (a flag goes before its variable):\n");
     for setting in settings {
         let default = setting.default.map_or("required".to_owned(), |text| {
-            if text.is_empty() {
-                "default: none".to_owned()
-            } else {
-                format!("default: {text}")
-            }
+            if text.is_empty() { "default: none".to_owned() } else { format!("default: {text}") }
         });
-        let line = format!(
-            "  {:<22} {:<26} {} [{default}]\n",
-            setting.flag, setting.env, setting.help
-        );
+        let line =
+            format!("  {:<22} {:<26} {} [{default}]\n", setting.flag, setting.env, setting.help);
         text.push_str(&line);
     }
     text.push_str("  --help                                            print this text\n");
--- a/crates/standins/src/answer.rs
+++ b/crates/standins/src/answer.rs
@@ -55,11 +55,7 @@
             return None;
         }
         let id = u64::from(word(4)) << 32 | u64::from(word(8));
-        Some(Self {
-            id,
-            service: word(12),
-            body: word(16),
-        })
+        Some(Self { id, service: word(12), body: word(16) })
     }
 
     /// The byte at a place in the answer's body.
@@ -82,18 +78,11 @@
     pub fn decode(buf: &[u8]) -> Option<Self> {
         let request = Request::decode(buf.get(..REQUEST_BYTES)?.try_into().ok()?)?;
         let ip: [u8; 4] = buf.get(REQUEST_BYTES..HEAD_BYTES)?.try_into().ok()?;
-        Some(Self {
-            request,
-            upstream: Ipv4Addr::from(ip),
-        })
+        Some(Self { request, upstream: Ipv4Addr::from(ip) })
     }
 }
 
 /// The number that requests name a service by.
 pub fn service_hash(address: std::net::SocketAddrV4) -> u32 {
-    address
-        .ip()
-        .to_bits()
-        .wrapping_mul(31)
-        .wrapping_add(u32::from(address.port()))
+    address.ip().to_bits().wrapping_mul(31).wrapping_add(u32::from(address.port()))
 }
--- a/crates/standins/src/bin/standin-caller.rs
+++ b/crates/standins/src/bin/standin-caller.rs
@@ -81,14 +81,10 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     let mut reader = Reader::from_process();
-    let all = [
-        LISTEN, FABRIC, SERVICE, FIRST_HOST, HOSTS, SESSIONS, THINK, IDLE, REQUESTS, BODY, RAMP,
-    ];
+    let all =
+        [LISTEN, FABRIC, SERVICE, FIRST_HOST, HOSTS, SESSIONS, THINK, IDLE, REQUESTS, BODY, RAMP];
     if reader.wants_help() {
-        print!(
-            "{}",
-            settings::help("standin-caller: sessions with checked answers", &all)
-        );
+        print!("{}", settings::help("standin-caller: sessions with checked answers", &all));
         return ExitCode::SUCCESS;
     }
     let unset = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -132,9 +128,7 @@
     callers.close();
     let deadline = Instant::now() + FINISH;
     loop {
-        callers
-            .run_until(Instant::now() + Duration::from_millis(100))
-            .await?;
+        callers.run_until(Instant::now() + Duration::from_millis(100)).await?;
         if callers.is_quiet() || Instant::now() > deadline {
             break;
         }
@@ -144,11 +138,8 @@
 }
 
 fn print(stats: &Stats, last: bool) {
-    let broken: serde_json::Map<String, serde_json::Value> = stats
-        .broken
-        .iter()
-        .map(|(ip, count)| (ip.to_string(), (*count).into()))
-        .collect();
+    let broken: serde_json::Map<String, serde_json::Value> =
+        stats.broken.iter().map(|(ip, count)| (ip.to_string(), (*count).into())).collect();
     let line = serde_json::json!({
         "last": last,
         "open": stats.open,
--- a/crates/standins/src/bin/standin-platform.rs
+++ b/crates/standins/src/bin/standin-platform.rs
@@ -30,10 +30,7 @@
 async fn main() -> ExitCode {
     let mut reader = Reader::from_process();
     if reader.wants_help() {
-        print!(
-            "{}",
-            settings::help("standin-platform: a key-value service", &[LISTEN, ADMIN])
-        );
+        print!("{}", settings::help("standin-platform: a key-value service", &[LISTEN, ADMIN]));
         return ExitCode::SUCCESS;
     }
     let unset = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -44,18 +41,9 @@
     }
     let server = Server::default();
     let router = Router::new()
-        .route(
-            "/down",
-            post(|State(f): State<Arc<Faults>>| async move { f.set_down(true) }),
-        )
-        .route(
-            "/up",
-            post(|State(f): State<Arc<Faults>>| async move { f.set_down(false) }),
-        )
-        .route(
-            "/cut",
-            post(|State(f): State<Arc<Faults>>| async move { f.cut_watches() }),
-        )
+        .route("/down", post(|State(f): State<Arc<Faults>>| async move { f.set_down(true) }))
+        .route("/up", post(|State(f): State<Arc<Faults>>| async move { f.set_down(false) }))
+        .route("/cut", post(|State(f): State<Arc<Faults>>| async move { f.cut_watches() }))
         .route("/slow/{millis}", post(slow))
         .route("/lose/{count}", post(lose))
         .route("/calls", get(calls))
@@ -83,8 +71,5 @@
 
 async fn calls(State(faults): State<Arc<Faults>>) -> String {
     let calls = faults.calls();
-    format!(
-        "reads={} writes={} watches={}\n",
-        calls.reads, calls.writes, calls.watches
-    )
+    format!("reads={} writes={} watches={}\n", calls.reads, calls.writes, calls.watches)
 }
--- a/crates/standins/src/bin/standin-upstream.rs
+++ b/crates/standins/src/bin/standin-upstream.rs
@@ -64,21 +64,9 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     let mut reader = Reader::from_process();
-    let all = [
-        LISTEN,
-        ADMIN,
-        FABRIC,
-        SERVICE,
-        SLOTS,
-        RUN_TIME,
-        DELAY,
-        MAX_CONNECTIONS,
-    ];
+    let all = [LISTEN, ADMIN, FABRIC, SERVICE, SLOTS, RUN_TIME, DELAY, MAX_CONNECTIONS];
     if reader.wants_help() {
-        print!(
-            "{}",
-            settings::help("standin-upstream: a TCP server with a few slots", &all)
-        );
+        print!("{}", settings::help("standin-upstream: a TCP server with a few slots", &all));
         return ExitCode::SUCCESS;
     }
     let unset = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -100,10 +88,7 @@
     let router = Router::new()
         .route("/executed", get(executed))
         .route("/stats", get(stats))
-        .route(
-            "/cold",
-            post(|State(shared): State<Arc<Shared>>| async move { shared.turn_cold() }),
-        )
+        .route("/cold", post(|State(shared): State<Arc<Shared>>| async move { shared.turn_cold() }))
         .with_state(Arc::clone(&shared));
     if let Err(e) = admin::serve(admin_port, router).await {
         eprintln!("standin-upstream: {admin_port}: {e}");
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -119,27 +119,13 @@
     /// No connection until a time.
     Absent { until: Instant },
     /// Connecting.
-    Opening {
-        handle: SocketHandle,
-        since: Instant,
-    },
+    Opening { handle: SocketHandle, since: Instant },
     /// Connected; the next request is due at a time.
-    Thinking {
-        handle: SocketHandle,
-        until: Instant,
-    },
+    Thinking { handle: SocketHandle, until: Instant },
     /// Waiting for an answer.
-    Waiting {
-        handle: SocketHandle,
-        request: Request,
-        since: Instant,
-        got: Vec<u8>,
-    },
+    Waiting { handle: SocketHandle, request: Request, since: Instant, got: Vec<u8> },
     /// Closing.
-    Closing {
-        handle: SocketHandle,
-        since: Instant,
-    },
+    Closing { handle: SocketHandle, since: Instant },
 }
 
 impl Callers {
@@ -155,9 +141,7 @@
             let ip = Ipv4Addr::from_bits(cfg.first_host.to_bits() + index);
             let sessions = (0..cfg.sessions)
                 .map(|_| Session {
-                    phase: Phase::Absent {
-                        until: start + cfg.ramp.mul_f64(rng.f64()),
-                    },
+                    phase: Phase::Absent { until: start + cfg.ramp.mul_f64(rng.f64()) },
                     idle: rng.u32(..100) < cfg.idle_percent,
                     answered: 0,
                     upstream: None,
@@ -166,11 +150,7 @@
                 .collect();
             let seed = u64::from(ip.to_bits());
             let host = Host::new(smoltcp::time::Instant::ZERO, ip, seed);
-            CallerHost {
-                host,
-                sessions,
-                next_port: FIRST_PORT,
-            }
+            CallerHost { host, sessions, next_port: FIRST_PORT }
         };
         let hosts = (0..cfg.hosts).map(&mut host).collect();
         Ok(Self {
@@ -187,11 +167,7 @@
 
     /// What has happened so far.
     pub fn stats(&mut self) -> &Stats {
-        let open = self
-            .hosts
-            .iter()
-            .flat_map(|host| &host.sessions)
-            .filter(|s| s.is_open());
+        let open = self.hosts.iter().flat_map(|host| &host.sessions).filter(|s| s.is_open());
         self.stats.open = open.count() as u64;
         &self.stats
     }
@@ -319,9 +295,7 @@
                 let done = matches!(state, State::Closed | State::TimeWait);
                 if done || cx.now.duration_since(*since) > ANSWER_TIMEOUT {
                     host.remove_socket(*handle);
-                    self.phase = Phase::Absent {
-                        until: cx.now + cx.think(),
-                    };
+                    self.phase = Phase::Absent { until: cx.now + cx.think() };
                 }
             }
         }
@@ -336,10 +310,7 @@
         self.upstream = None;
         self.answered = 0;
         self.port = port;
-        self.phase = Phase::Opening {
-            handle,
-            since: cx.now,
-        };
+        self.phase = Phase::Opening { handle, since: cx.now };
     }
 
     fn step_opening(
@@ -353,10 +324,7 @@
         match host.socket(handle).state() {
             State::Established => {
                 cx.stats.opened += 1;
-                self.phase = Phase::Thinking {
-                    handle,
-                    until: cx.now,
-                };
+                self.phase = Phase::Thinking { handle, until: cx.now };
             }
             State::Closed | State::CloseWait if !late => {
                 cx.stats.refused += 1;
@@ -386,45 +354,24 @@
         if until > cx.now || silent {
             return;
         }
-        let finished = cx
-            .cfg
-            .requests
-            .is_some_and(|requests| self.answered >= requests);
+        let finished = cx.cfg.requests.is_some_and(|requests| self.answered >= requests);
         if finished || (cx.closing && !self.idle) {
             socket.close();
-            self.phase = Phase::Closing {
-                handle,
-                since: cx.now,
-            };
+            self.phase = Phase::Closing { handle, since: cx.now };
             return;
         }
         // An idle session sends one last request at the end, to show that it still works.
         self.idle = false;
         *cx.next_id += 1;
         let service = service_hash(cx.cfg.service);
-        let request = Request {
-            id: *cx.next_id,
-            service,
-            body: cx.cfg.body,
-        };
+        let request = Request { id: *cx.next_id, service, body: cx.cfg.body };
         let sent = socket.send_slice(&request.encode());
         debug_assert!(sent.is_ok());
-        self.phase = Phase::Waiting {
-            handle,
-            request,
-            since: cx.now,
-            got: Vec::new(),
-        };
+        self.phase = Phase::Waiting { handle, request, since: cx.now, got: Vec::new() };
     }
 
     fn step_waiting(&mut self, host: &mut Host, cx: &mut Context<'_>) {
-        let Phase::Waiting {
-            handle,
-            request,
-            since,
-            got,
-        } = &mut self.phase
-        else {
+        let Phase::Waiting { handle, request, since, got } = &mut self.phase else {
             return;
         };
         let (handle, request, since) = (*handle, *request, *since);
@@ -439,16 +386,9 @@
             let right = is_right(got, request);
             let took = cx.now.duration_since(since).as_micros();
             cx.stats.answer_us.saturating_record(took as u64);
-            *if right {
-                &mut cx.stats.ok
-            } else {
-                &mut cx.stats.wrong
-            } += 1;
+            *if right { &mut cx.stats.ok } else { &mut cx.stats.wrong } += 1;
             self.answered += 1;
-            self.phase = Phase::Thinking {
-                handle,
-                until: cx.now + cx.think(),
-            };
+            self.phase = Phase::Thinking { handle, until: cx.now + cx.think() };
             return;
         }
         let late = cx.now.duration_since(since) > ANSWER_TIMEOUT;
@@ -502,9 +442,6 @@
     let whole = HEAD_BYTES + request.body as usize;
     let head_fits = Head::decode(got).is_some_and(|head| head.request == request);
     let body = got.get(HEAD_BYTES..whole).unwrap_or_default();
-    let body_fits = body
-        .iter()
-        .zip(0..)
-        .all(|(byte, at)| *byte == request.body_byte(at));
+    let body_fits = body.iter().zip(0..).all(|(byte, at)| *byte == request.body_byte(at));
     head_fits && body_fits && got.len() == whole
 }
--- a/crates/standins/src/delay.rs
+++ b/crates/standins/src/delay.rs
@@ -13,10 +13,7 @@
 impl<T> Line<T> {
     /// An empty line.
     pub fn new(delay: Duration) -> Self {
-        Self {
-            delay,
-            items: VecDeque::new(),
-        }
+        Self { delay, items: VecDeque::new() }
     }
 
     /// Puts an item on its way.
--- a/crates/standins/src/fabric.rs
+++ b/crates/standins/src/fabric.rs
@@ -14,6 +14,7 @@
 use tokio::net::{TcpStream, UdpSocket};
 
 use crate::delay::Line;
+use crate::links::Cuts;
 
 /// Time between health checks of an entry.
 const HEALTH_EVERY: Duration = Duration::from_millis(100);
@@ -43,10 +44,7 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let (packets, admin) = text.split_once('/').ok_or("expected PACKETS/ADMIN")?;
         let parse = |text: &str| text.parse().map_err(|e| format!("{text}: {e}"));
-        Ok(Self {
-            packets: parse(packets)?,
-            admin: parse(admin)?,
-        })
+        Ok(Self { packets: parse(packets)?, admin: parse(admin)? })
     }
 }
 
@@ -65,6 +63,8 @@
     pub caller_delay: Duration,
     /// One-way delay from upstreams to entries.
     pub reply_delay: Duration,
+    /// Zones that are cut off.
+    pub cuts: Cuts,
 }
 
 /// The entries that get packets.
@@ -76,12 +76,13 @@
     callers: UdpSocket,
     entries: UdpSocket,
     replies: UdpSocket,
-    sources: IndexMap<IpAddr, UdpSocket>,
+    sources: IndexMap<IpAddr, std::net::UdpSocket>,
     caller_addrs: IndexMap<Ipv4Addr, SocketAddr>,
     healthy: Healthy,
     to_entries: Line<Vec<u8>>,
     to_callers: Line<Vec<u8>>,
     from_upstreams: Line<(IpAddr, Vec<u8>)>,
+    cuts: Cuts,
     rng: fastrand::Rng,
 }
 
@@ -106,6 +107,7 @@
             to_entries: Line::new(cfg.caller_delay),
             to_callers: Line::new(cfg.caller_delay),
             from_upstreams: Line::new(cfg.reply_delay),
+            cuts: cfg.cuts,
             rng: fastrand::Rng::with_seed(7),
         })
     }
@@ -151,15 +153,14 @@
             let Ok((len, from)) = self.replies.try_recv_from(buf) else {
                 break;
             };
-            self.from_upstreams
-                .push(now, (from.ip(), buf[..len].to_vec()));
+            self.from_upstreams.push(now, (from.ip(), buf[..len].to_vec()));
         }
     }
 
     fn deliver(&mut self) {
         let now = Instant::now();
         while let Some(packet) = self.to_entries.pop(now) {
-            if let Some(entry) = self.pick() {
+            if let Some(entry) = self.pick(None) {
                 let _ = self.entries.try_send_to(&packet, entry);
             }
         }
@@ -172,56 +173,60 @@
             }
         }
         while let Some((upstream, packet)) = self.from_upstreams.pop(now) {
-            let Some(entry) = self.pick() else {
+            let Some(entry) = self.pick(Some(upstream)) else {
                 continue;
             };
             if let Some(source) = self.source(upstream) {
-                let _ = source.try_send_to(&packet, entry);
+                let _ = source.send_to(&packet, entry);
             }
         }
     }
 
-    /// A random healthy entry.
-    fn pick(&mut self) -> Option<SocketAddr> {
+    /// A random healthy entry, among those that `from` can reach.
+    fn pick(&mut self, from: Option<IpAddr>) -> Option<SocketAddr> {
         let healthy = self.healthy.lock().unwrap_or_else(PoisonError::into_inner);
-        if healthy.is_empty() {
+        let reaches = |entry: &&SocketAddr| from.is_none_or(|ip| self.cuts.passes(ip, entry.ip()));
+        let count = healthy.iter().filter(reaches).count();
+        if count == 0 {
             return None;
         }
-        Some(healthy[self.rng.usize(..healthy.len())])
+        healthy.iter().filter(reaches).nth(self.rng.usize(..count)).copied()
     }
 
     /// The socket bound to an upstream's address.
-    fn source(&mut self, upstream: IpAddr) -> Option<&UdpSocket> {
+    fn source(&mut self, upstream: IpAddr) -> Option<&std::net::UdpSocket> {
         if !self.sources.contains_key(&upstream) {
-            let socket = bind(SocketAddr::new(upstream, 0)).ok()?;
+            let socket = bind_nonblocking(SocketAddr::new(upstream, 0)).ok()?;
             self.sources.insert(upstream, socket);
         }
         self.sources.get(&upstream)
     }
 
     fn next_at(&self) -> Option<Instant> {
-        let lines = [
-            self.to_entries.next_at(),
-            self.to_callers.next_at(),
-            self.from_upstreams.next_at(),
-        ];
+        let lines =
+            [self.to_entries.next_at(), self.to_callers.next_at(), self.from_upstreams.next_at()];
         lines.into_iter().flatten().min()
     }
 }
 
-/// Binds a UDP socket with large buffers, so that bursts are not lost here.
+/// Binds a UDP socket with large buffers, so that bursts are not lost here; called within a
+/// runtime.
 ///
 /// # Errors
 ///
 /// Returns an error if the address can't be bound.
 pub fn bind(addr: SocketAddr) -> io::Result<UdpSocket> {
+    UdpSocket::from_std(bind_nonblocking(addr)?)
+}
+
+fn bind_nonblocking(addr: SocketAddr) -> io::Result<std::net::UdpSocket> {
     const BUFFER_BYTES: usize = 8 * 1024 * 1024;
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::DGRAM, None)?;
     socket.set_nonblocking(true)?;
     socket.set_recv_buffer_size(BUFFER_BYTES)?;
     socket.set_send_buffer_size(BUFFER_BYTES)?;
     socket.bind(&addr.into())?;
-    UdpSocket::from_std(socket.into())
+    Ok(socket.into())
 }
 
 async fn watch_health(entry: Entry, healthy: Healthy) {
@@ -241,9 +246,7 @@
 
 async fn is_ready(admin: SocketAddr) -> io::Result<bool> {
     let mut stream = TcpStream::connect(admin).await?;
-    stream
-        .write_all(b"GET /ready HTTP/1.0\r\nhost: entry\r\n\r\n")
-        .await?;
+    stream.write_all(b"GET /ready HTTP/1.0\r\nhost: entry\r\n\r\n").await?;
     let mut answer = Vec::new();
     stream.read_to_end(&mut answer).await?;
     Ok(answer.starts_with(b"HTTP/1.0 200") || answer.starts_with(b"HTTP/1.1 200"))
--- a/crates/standins/src/host.rs
+++ b/crates/standins/src/host.rs
@@ -12,9 +12,6 @@
 /// Largest IP packet in bytes.
 const MTU_BYTES: usize = 1_400;
 
-/// Time after which a lost segment's connection is given up, in seconds.
-const TCP_TIMEOUT_S: u64 = 20;
-
 /// The packets that wait to be read by the host or to be sent by it.
 #[derive(Debug, Default)]
 pub struct Queues {
@@ -31,9 +28,7 @@
 
 impl std::fmt::Debug for Host {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Host")
-            .field("queues", &self.queues)
-            .finish_non_exhaustive()
+        f.debug_struct("Host").field("queues", &self.queues).finish_non_exhaustive()
     }
 }
 
@@ -50,11 +45,7 @@
         });
         let route = iface.routes_mut().add_default_ipv4_route(ip);
         debug_assert!(route.is_ok());
-        Self {
-            iface,
-            sockets: SocketSet::new(Vec::new()),
-            queues,
-        }
+        Self { iface, sockets: SocketSet::new(Vec::new()), queues }
     }
 
     /// The host's address.
@@ -63,11 +54,12 @@
     }
 
     /// Adds a TCP socket with buffers of the given sizes in bytes.
+    ///
+    /// It has no time-out: the stack's own also ends connections that are merely idle.
     pub fn add_socket(&mut self, rx_bytes: usize, tx_bytes: usize) -> SocketHandle {
         let rx = tcp::SocketBuffer::new(vec![0; rx_bytes]);
         let tx = tcp::SocketBuffer::new(vec![0; tx_bytes]);
         let mut socket = tcp::Socket::new(rx, tx);
-        socket.set_timeout(Some(smoltcp::time::Duration::from_secs(TCP_TIMEOUT_S)));
         socket.set_nagle_enabled(false);
         self.sockets.add(socket)
     }
@@ -94,11 +86,7 @@
         local_port: u16,
     ) -> Result<(), tcp::ConnectError> {
         let socket = self.sockets.get_mut::<tcp::Socket<'_>>(handle);
-        socket.connect(
-            self.iface.context(),
-            (IpAddress::Ipv4(*to.ip()), to.port()),
-            local_port,
-        )
+        socket.connect(self.iface.context(), (IpAddress::Ipv4(*to.ip()), to.port()), local_port)
     }
 
     /// Hands in a packet that has arrived.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod delay;
 pub mod fabric;
 pub mod host;
+pub mod links;
 pub mod platform;
 pub mod upstream;
--- a/crates/standins/src/platform/faults.rs
+++ b/crates/standins/src/platform/faults.rs
@@ -37,10 +37,7 @@
 
 impl Default for Faults {
     fn default() -> Self {
-        Self {
-            state: Mutex::default(),
-            cut: watch::Sender::new(0),
-        }
+        Self { state: Mutex::default(), cut: watch::Sender::new(0) }
     }
 }
 
@@ -76,11 +73,7 @@
     /// Calls seen so far.
     pub fn calls(&self) -> Calls {
         let state = self.read();
-        Calls {
-            reads: state.reads,
-            writes: state.writes,
-            watches: state.watches,
-        }
+        Calls { reads: state.reads, writes: state.writes, watches: state.watches }
     }
 
     /// Passes a read.
@@ -124,11 +117,7 @@
             lost = state.lose_replies > 0;
             state.lose_replies = state.lose_replies.saturating_sub(1);
         });
-        if lost {
-            Err(Status::unavailable("reply lost"))
-        } else {
-            Ok(())
-        }
+        if lost { Err(Status::unavailable("reply lost")) } else { Ok(()) }
     }
 
     async fn pass(&self) -> Result<(), Status> {
@@ -136,24 +125,14 @@
         if !state.delay.is_zero() {
             tokio::time::sleep(state.delay).await;
         }
-        if state.down {
-            Err(Status::unavailable("outage"))
-        } else {
-            Ok(())
-        }
+        if state.down { Err(Status::unavailable("outage")) } else { Ok(()) }
     }
 
     fn read(&self) -> State {
-        *self
-            .state
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        *self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
     fn change(&self, f: impl FnOnce(&mut State)) {
-        f(&mut self
-            .state
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner));
+        f(&mut self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner));
     }
 }
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -36,12 +36,7 @@
 impl Default for Server {
     fn default() -> Self {
         let (changes, _) = broadcast::channel(WATCH_BACKLOG);
-        Self {
-            store: Arc::default(),
-            faults: Arc::default(),
-            changes,
-            clock: Clock::start(),
-        }
+        Self { store: Arc::default(), faults: Arc::default(), changes, clock: Clock::start() }
     }
 }
 
@@ -97,10 +92,7 @@
     async fn write(&self, op: request_op::Request) -> Result<rpc::TxnResponse, Status> {
         self.faults.pass_write().await?;
         let success = vec![rpc::RequestOp { request: Some(op) }];
-        let response = self.run(&rpc::TxnRequest {
-            success,
-            ..Default::default()
-        })?;
+        let response = self.run(&rpc::TxnRequest { success, ..Default::default() })?;
         self.faults.pass_reply()?;
         Ok(response)
     }
@@ -129,27 +121,17 @@
         &self,
         req: Request<rpc::PutRequest>,
     ) -> Result<Response<rpc::PutResponse>, Status> {
-        let done = self
-            .write(request_op::Request::RequestPut(req.into_inner()))
-            .await?;
-        Ok(Response::new(rpc::PutResponse {
-            header: done.header,
-            prev_kv: None,
-        }))
+        let done = self.write(request_op::Request::RequestPut(req.into_inner())).await?;
+        Ok(Response::new(rpc::PutResponse { header: done.header, prev_kv: None }))
     }
 
     async fn delete_range(
         &self,
         req: Request<rpc::DeleteRangeRequest>,
     ) -> Result<Response<rpc::DeleteRangeResponse>, Status> {
-        let done = self
-            .write(request_op::Request::RequestDeleteRange(req.into_inner()))
-            .await?;
+        let done = self.write(request_op::Request::RequestDeleteRange(req.into_inner())).await?;
         let header = done.header;
-        Ok(Response::new(rpc::DeleteRangeResponse {
-            header,
-            ..Default::default()
-        }))
+        Ok(Response::new(rpc::DeleteRangeResponse { header, ..Default::default() }))
     }
 
     async fn txn(
@@ -173,11 +155,7 @@
     ) -> Result<Response<Self::WatchStream>, Status> {
         self.faults.pass_watch().await?;
         let mut requests = req.into_inner();
-        let first = requests
-            .next()
-            .await
-            .transpose()?
-            .and_then(|req| req.request_union);
+        let first = requests.next().await.transpose()?.and_then(|req| req.request_union);
         let Some(watch_request::RequestUnion::CreateRequest(create)) = first else {
             return Err(Status::invalid_argument("expected a create request"));
         };
@@ -206,16 +184,9 @@
             };
             (self.changes.subscribe(), past, store.header())
         };
-        let created = rpc::WatchResponse {
-            header: Some(header),
-            created: true,
-            ..Default::default()
-        };
-        let first = rpc::WatchResponse {
-            header: Some(header),
-            events: past,
-            ..Default::default()
-        };
+        let created =
+            rpc::WatchResponse { header: Some(header), created: true, ..Default::default() };
+        let first = rpc::WatchResponse { header: Some(header), events: past, ..Default::default() };
         if tx.send(Ok(created)).await.is_err() || tx.send(Ok(first)).await.is_err() {
             return;
         }
@@ -243,15 +214,8 @@
             if events.is_empty() {
                 continue;
             }
-            let header = Some(rpc::ResponseHeader {
-                revision,
-                ..self.store().header()
-            });
-            let response = rpc::WatchResponse {
-                header,
-                events,
-                ..Default::default()
-            };
+            let header = Some(rpc::ResponseHeader { revision, ..self.store().header() });
+            let response = rpc::WatchResponse { header, events, ..Default::default() };
             if tx.send(Ok(response)).await.is_err() {
                 return;
             }
@@ -289,9 +253,7 @@
         let mut store = self.store();
         let events = store.revoke(req.get_ref().id);
         self.publish(&store, events);
-        Ok(Response::new(rpc::LeaseRevokeResponse {
-            header: Some(store.header()),
-        }))
+        Ok(Response::new(rpc::LeaseRevokeResponse { header: Some(store.header()) }))
     }
 
     async fn lease_keep_alive(
@@ -309,16 +271,9 @@
                 }
                 let (ttl, header) = {
                     let mut store = server.store();
-                    (
-                        store.keep_alive(server.clock.now(), req.id),
-                        Some(store.header()),
-                    )
-                };
-                let response = rpc::LeaseKeepAliveResponse {
-                    header,
-                    id: req.id,
-                    ttl,
+                    (store.keep_alive(server.clock.now(), req.id), Some(store.header()))
                 };
+                let response = rpc::LeaseKeepAliveResponse { header, id: req.id, ttl };
                 if tx.send(Ok(response)).await.is_err() {
                     return;
                 }
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -40,12 +40,7 @@
 impl Store {
     /// The present header.
     pub fn header(&self) -> rpc::ResponseHeader {
-        rpc::ResponseHeader {
-            cluster_id: 1,
-            member_id: 1,
-            revision: self.revision,
-            raft_term: 1,
-        }
+        rpc::ResponseHeader { cluster_id: 1, member_id: 1, revision: self.revision, raft_term: 1 }
     }
 
     /// Reads a range.
@@ -57,11 +52,7 @@
             .map(|(_, kv)| kv.clone())
             .collect();
         let count = all.len();
-        let limit = if req.limit > 0 {
-            req.limit as usize
-        } else {
-            usize::MAX
-        };
+        let limit = if req.limit > 0 { req.limit as usize } else { usize::MAX };
         let mut kvs: Vec<_> = all.into_iter().take(limit).collect();
         if req.keys_only {
             for kv in &mut kvs {
@@ -73,12 +64,7 @@
         }
         let more = count > limit;
         let count = count as u64;
-        rpc::RangeResponse {
-            header: Some(self.header()),
-            kvs,
-            more,
-            count: count.cast_signed(),
-        }
+        rpc::RangeResponse { header: Some(self.header()), kvs, more, count: count.cast_signed() }
     }
 
     /// Runs a transaction and returns the answer with the events it caused.
@@ -91,11 +77,7 @@
         req: &rpc::TxnRequest,
     ) -> Result<(rpc::TxnResponse, Vec<mvccpb::Event>), Refused> {
         let succeeded = req.compare.iter().all(|compare| self.holds(compare));
-        let ops = if succeeded {
-            &req.success
-        } else {
-            &req.failure
-        };
+        let ops = if succeeded { &req.success } else { &req.failure };
         for op in ops {
             if let Some(request_op::Request::RequestPut(put)) = &op.request {
                 self.check_put(put)?;
@@ -124,16 +106,10 @@
                 }
                 None => continue,
             };
-            responses.push(rpc::ResponseOp {
-                response: Some(response),
-            });
+            responses.push(rpc::ResponseOp { response: Some(response) });
         }
         self.commit(next, &events);
-        let response = rpc::TxnResponse {
-            header: Some(self.header()),
-            succeeded,
-            responses,
-        };
+        let response = rpc::TxnResponse { header: Some(self.header()), succeeded, responses };
         Ok((response, events))
     }
 
@@ -165,22 +141,15 @@
             .filter(|(_, kv)| kv.lease == id && id != 0)
             .map(|(key, _)| key.clone())
             .collect();
-        let events: Vec<_> = keys
-            .iter()
-            .flat_map(|key| self.delete(next, key, &[]))
-            .collect();
+        let events: Vec<_> = keys.iter().flat_map(|key| self.delete(next, key, &[])).collect();
         self.commit(next, &events);
         events
     }
 
     /// Ends all leases that have lapsed; returns the events.
     pub fn expire(&mut self, now: Timestamp) -> Vec<mvccpb::Event> {
-        let lapsed: Vec<i64> = self
-            .leases
-            .iter()
-            .filter(|(_, lease)| lease.until <= now)
-            .map(|(id, _)| *id)
-            .collect();
+        let lapsed: Vec<i64> =
+            self.leases.iter().filter(|(_, lease)| lease.until <= now).map(|(id, _)| *id).collect();
         lapsed.into_iter().flat_map(|id| self.revoke(id)).collect()
     }
 
@@ -190,12 +159,7 @@
             .iter()
             .filter(|(revision, _)| *revision >= from)
             .map(|(_, event)| event)
-            .filter(|event| {
-                event
-                    .kv
-                    .as_ref()
-                    .is_some_and(|kv| in_range(&kv.key, key, range_end))
-            })
+            .filter(|event| event.kv.as_ref().is_some_and(|kv| in_range(&kv.key, key, range_end)))
             .cloned()
             .collect()
     }
@@ -221,34 +185,18 @@
             lease: put.lease,
         };
         self.values.insert(put.key.clone(), kv.clone());
-        mvccpb::Event {
-            r#type: mvccpb::event::EventType::Put.into(),
-            kv: Some(kv),
-            prev_kv: None,
-        }
+        mvccpb::Event { r#type: mvccpb::event::EventType::Put.into(), kv: Some(kv), prev_kv: None }
     }
 
     fn delete(&mut self, revision: i64, key: &[u8], range_end: &[u8]) -> Vec<mvccpb::Event> {
-        let keys: Vec<Vec<u8>> = self
-            .values
-            .keys()
-            .filter(|k| in_range(k, key, range_end))
-            .cloned()
-            .collect();
+        let keys: Vec<Vec<u8>> =
+            self.values.keys().filter(|k| in_range(k, key, range_end)).cloned().collect();
         let mut events = Vec::new();
         for key in keys {
             self.values.remove(&key);
-            let kv = mvccpb::KeyValue {
-                key,
-                mod_revision: revision,
-                ..Default::default()
-            };
+            let kv = mvccpb::KeyValue { key, mod_revision: revision, ..Default::default() };
             let kind = mvccpb::event::EventType::Delete.into();
-            events.push(mvccpb::Event {
-                r#type: kind,
-                kv: Some(kv),
-                prev_kv: None,
-            });
+            events.push(mvccpb::Event { r#type: kind, kv: Some(kv), prev_kv: None });
         }
         events
     }
@@ -258,8 +206,7 @@
             return;
         }
         self.revision = revision;
-        self.history
-            .extend(events.iter().map(|event| (revision, event.clone())));
+        self.history.extend(events.iter().map(|event| (revision, event.clone())));
     }
 
     fn holds(&self, condition: &rpc::Compare) -> bool {
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -200,10 +200,7 @@
 
     /// Keeps enough sockets waiting for connections.
     fn listen(&mut self) {
-        let room = self
-            .cfg
-            .max_connections
-            .saturating_sub(self.connections.len());
+        let room = self.cfg.max_connections.saturating_sub(self.connections.len());
         while self.listening.len() < LISTENING.min(room) {
             let handle = self.host.add_socket(RX_BYTES, TX_BYTES);
             let listens = self.host.socket(handle).listen(self.cfg.service.port());
@@ -217,10 +214,7 @@
         self.listening.retain(|handle| {
             let waits = host.socket(*handle).state() == State::Listen;
             if !waits {
-                connections.push(Connection {
-                    handle: *handle,
-                    unsent: Vec::new(),
-                });
+                connections.push(Connection { handle: *handle, unsent: Vec::new() });
             }
             waits
         });
@@ -258,21 +252,14 @@
                 break;
             };
             self.shared.lock().executed.push(request.id);
-            self.running.push(Job {
-                handle,
-                request,
-                done: now + run_time,
-            });
+            self.running.push(Job { handle, request, done: now + run_time });
         }
         self.shared.lock().open = self.connections.len();
     }
 
     fn finish_jobs(&mut self, now: Instant) {
         for job in self.running.extract_if(.., |job| job.done <= now) {
-            let head = Head {
-                request: job.request,
-                upstream: self.ip,
-            };
+            let head = Head { request: job.request, upstream: self.ip };
             let connection = self.connections.iter_mut().find(|c| c.handle == job.handle);
             if let Some(connection) = connection {
                 connection.unsent.extend(head.encode_answer());
@@ -284,8 +271,7 @@
         if closed.is_empty() {
             return;
         }
-        self.connections
-            .retain(|connection| !closed.contains(&connection.handle));
+        self.connections.retain(|connection| !closed.contains(&connection.handle));
         self.waiting.retain(|(handle, _)| !closed.contains(handle));
         self.running.retain(|job| !closed.contains(&job.handle));
         for handle in closed {
@@ -294,11 +280,7 @@
     }
 
     fn run_time(&self, now: Instant) -> Duration {
-        let cold = self
-            .shared
-            .lock()
-            .cold_since
-            .map(|since| now.duration_since(since));
+        let cold = self.shared.lock().cold_since.map(|since| now.duration_since(since));
         match cold {
             Some(age) if age < COLD_TIME => {
                 let left = 1.0 - age.as_secs_f64() / COLD_TIME.as_secs_f64();
@@ -311,10 +293,7 @@
     fn next_at(&self) -> Instant {
         let idle = Instant::now() + IDLE;
         let job = self.running.iter().map(|job| job.done).min();
-        [self.arriving.next_at(), job]
-            .into_iter()
-            .flatten()
-            .fold(idle, Instant::min)
+        [self.arriving.next_at(), job].into_iter().flatten().fold(idle, Instant::min)
     }
 }
 
--- a/crates/stdx/src/time.rs
+++ b/crates/stdx/src/time.rs
@@ -55,13 +55,8 @@
 impl Clock {
     /// Anchors a clock at the present wall time.
     pub fn start() -> Self {
-        let wall = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        Self {
-            anchor: Instant::now(),
-            start: u64::try_from(wall.as_micros()).unwrap_or(u64::MAX),
-        }
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { anchor: Instant::now(), start: u64::try_from(wall.as_micros()).unwrap_or(u64::MAX) }
     }
 
     /// The present time.
--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -7,15 +7,7 @@
 
 const STEPS: [&[&str]; 4] = [
     &["fmt", "--all", "--check"],
-    &[
-        "clippy",
-        "--workspace",
-        "--all-targets",
-        "--quiet",
-        "--",
-        "-D",
-        "warnings",
-    ],
+    &["clippy", "--workspace", "--all-targets", "--quiet", "--", "-D", "warnings"],
     &["test", "--workspace", "--quiet"],
     &["doc", "--workspace", "--no-deps", "--quiet"],
 ];
--- a/xtask/src/demo/documents.rs
+++ b/xtask/src/demo/documents.rs
@@ -32,11 +32,7 @@
         service.max_flows / 4,
     );
     for upstream in &service.upstreams {
-        let state = if decisions.draining.contains(&upstream.ip) {
-            "draining"
-        } else {
-            "active"
-        };
+        let state = if decisions.draining.contains(&upstream.ip) { "draining" } else { "active" };
         let _ = write!(
             text,
             "\n[[upstreams]]\naddress = \"{}\"\nzone = \"{}\"\nstate = \"{state}\"\n",
--- a/xtask/src/demo/event.rs
+++ b/xtask/src/demo/event.rs
@@ -54,10 +54,7 @@
 impl Kind {
     /// The name on the command line.
     pub fn name(self) -> &'static str {
-        NAMES
-            .iter()
-            .find(|(_, kind)| *kind == self)
-            .map_or("", |(name, _)| name)
+        NAMES.iter().find(|(_, kind)| *kind == self).map_or("", |(name, _)| name)
     }
 }
 
@@ -67,15 +64,11 @@
     /// Reads `KIND@SECONDS`.
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let (name, at) = text.split_once('@').ok_or("expected KIND@SECONDS")?;
-        let kind = NAMES
-            .iter()
-            .find(|(known, _)| *known == name)
-            .map(|(_, kind)| *kind);
+        let kind = NAMES.iter().find(|(known, _)| *known == name).map(|(_, kind)| *kind);
         let names: Vec<&str> = NAMES.iter().map(|(name, _)| *name).collect();
         let kind = kind.ok_or_else(|| format!("\"{name}\" is none of {}", names.join(", ")))?;
-        let seconds: f64 = at
-            .parse()
-            .map_err(|_invalid| format!("\"{at}\" is not a time in seconds"))?;
+        let seconds: f64 =
+            at.parse().map_err(|_invalid| format!("\"{at}\" is not a time in seconds"))?;
         let at = Duration::try_from_secs_f64(seconds).map_err(|e| e.to_string())?;
         Ok(Self { kind, at })
     }
--- a/xtask/src/demo/http.rs
+++ b/xtask/src/demo/http.rs
@@ -15,9 +15,8 @@
 /// Calls `method path` and returns the body of a successful answer.
 pub async fn call(method: &str, addr: SocketAddr, path: &str) -> Result<String> {
     let exchange = time::timeout(TIMEOUT, exchange(method, addr, path));
-    let answer = exchange
-        .await
-        .map_err(|_late| Error::Step(format!("{addr}{path}: no answer")))??;
+    let answer =
+        exchange.await.map_err(|_late| Error::Step(format!("{addr}{path}: no answer")))??;
     let (head, body) = answer.split_once("\r\n\r\n").unwrap_or((&answer, ""));
     if head.split(' ').nth(1) != Some("200") {
         let status = head.lines().next().unwrap_or_default();
--- a/xtask/src/demo/mod.rs
+++ b/xtask/src/demo/mod.rs
@@ -3,6 +3,7 @@
 mod documents;
 mod event;
 mod http;
+mod launch;
 mod process;
 mod run;
 mod tally;
--- a/xtask/src/demo/process.rs
+++ b/xtask/src/demo/process.rs
@@ -51,18 +51,12 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
-        Ok(Process {
-            name: name.to_owned(),
-            child,
-        })
+        Ok(Process { name: name.to_owned(), child })
     }
 
     /// Runs a program to its end and returns what it printed.
     pub async fn run(&self, program: &str, args: &[String]) -> Result<String> {
-        let output = Command::new(self.bin.join(program))
-            .args(args)
-            .output()
-            .await?;
+        let output = Command::new(self.bin.join(program)).args(args).output().await?;
         if !output.status.success() {
             let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
             return Err(Error::Step(format!("{program}: {stderr}")));
@@ -77,12 +71,14 @@
         self.child.stdout.take()
     }
 
+    /// Whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Asks for a graceful stop.
     pub fn terminate(&self) -> Result<()> {
-        let pid = self
-            .child
-            .id()
-            .and_then(|id| Pid::from_raw(id.cast_signed()));
+        let pid = self.child.id().and_then(|id| Pid::from_raw(id.cast_signed()));
         let pid = pid.ok_or_else(|| Error::Step(format!("{} has ended already", self.name)))?;
         rustix::process::kill_process(pid, Signal::TERM)
             .map_err(|e| Error::Step(format!("{}: {e}", self.name)))
--- a/xtask/src/demo/tally.rs
+++ b/xtask/src/demo/tally.rs
@@ -80,11 +80,7 @@
             sum.ok += line.ok;
             sum.wrong += line.wrong;
             for (upstream, count) in &line.broken {
-                *if excused(*upstream) {
-                    &mut sum.excused
-                } else {
-                    &mut sum.broken
-                } += count;
+                *if excused(*upstream) { &mut sum.excused } else { &mut sum.broken } += count;
             }
             sum.p99_us = sum.p99_us.max(line.p99_us);
             sum.max_us = sum.max_us.max(line.max_us);
--- a/xtask/src/demo/topology.rs
+++ b/xtask/src/demo/topology.rs
@@ -2,8 +2,15 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-/// UDP port at which upstreams take packets.
+/// UDP port at which upstreams are reached, and their own port behind the link.
 pub const UPSTREAM_PORT: u16 = 5555;
+pub const UPSTREAM_OWN_PORT: u16 = 5655;
+
+/// UDP ports at which entries reach each other, and their own ports behind the links.
+pub const PEER_PORT: u16 = 7200;
+pub const PEER_OWN_PORT: u16 = 7100;
+pub const CONTROL_PORT: u16 = 7201;
+pub const CONTROL_OWN_PORT: u16 = 7101;
 
 /// TCP port of each admin page.
 pub const ADMIN_PORT: u16 = 9000;
@@ -101,10 +108,8 @@
 impl Topology {
     /// The processes of a scale.
     pub fn new(scale: Scale) -> Self {
-        let entry = |zone: usize, n: u8| Place {
-            zone,
-            ip: Ipv4Addr::new(127, 1, zone as u8 + 1, n),
-        };
+        let entry =
+            |zone: usize, n: u8| Place { zone, ip: Ipv4Addr::new(127, 1, zone as u8 + 1, n) };
         let entries = vec![entry(0, 1), entry(0, 2), entry(1, 1), entry(2, 1)];
         let (desk, catalogue) = match scale {
             Scale::Small => ((6, 16, 25, 500, 2_000), (3, 8, 25, 500, 2_000)),
@@ -128,13 +133,16 @@
                 max_flows: 8_000,
             }
         };
-        let services = vec![
-            service(1, "order-desk", desk, 0, 0),
-            service(2, "catalogue", catalogue, 4, 1),
-        ];
+        let services =
+            vec![service(1, "order-desk", desk, 0, 0), service(2, "catalogue", catalogue, 4, 1)];
         Self { entries, services }
     }
 
+    /// All upstreams of all services.
+    pub fn upstreams(&self) -> impl Iterator<Item = Place> + '_ {
+        self.services.iter().flat_map(|service| service.upstreams.iter().copied())
+    }
+
     /// Addresses of all entries.
     pub fn entry_ips(&self) -> Vec<Ipv4Addr> {
         self.entries.iter().map(|entry| entry.ip).collect()
@@ -143,8 +151,5 @@
 
 fn upstream(service: u8, n: u8) -> Place {
     let zone = usize::from(n) % ZONES.len();
-    Place {
-        zone,
-        ip: Ipv4Addr::new(127, 2, zone as u8 + 1, service * 32 + n),
-    }
+    Place { zone, ip: Ipv4Addr::new(127, 2, zone as u8 + 1, service * 32 + n) }
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -58,9 +58,7 @@
 fn demo(mut args: Arguments) -> Result<()> {
     let options = Options {
         seconds: args.opt_value_from_str("--seconds")?.unwrap_or(20),
-        scale: args
-            .opt_value_from_str("--scale")?
-            .unwrap_or(demo::Scale::Small),
+        scale: args.opt_value_from_str("--scale")?.unwrap_or(demo::Scale::Small),
         events: args.values_from_str("--event")?,
     };
     done(args)?;
@@ -68,9 +66,7 @@
 }
 
 fn make_keys(mut args: Arguments) -> Result<()> {
-    let dir: PathBuf = args
-        .opt_value_from_str("--dir")?
-        .unwrap_or_else(|| "keys".into());
+    let dir: PathBuf = args.opt_value_from_str("--dir")?.unwrap_or_else(|| "keys".into());
     let entries: String = args.value_from_str("--entries")?;
     done(args)?;
     let entries: std::result::Result<Vec<_>, _> = entries.split(',').map(str::parse).collect();
