--- a/crates/flow/src/engine.rs
+++ b/crates/flow/src/engine.rs
@@ -220,6 +220,16 @@
         self.learned.len()
     }
 
+    /// Openings without an answer.
+    pub fn opening_count(&self) -> usize {
+        self.openings.len()
+    }
+
+    /// Flows being recovered.
+    pub fn pending_count(&self) -> usize {
+        self.pending.len()
+    }
+
     /// The pool of a service.
     pub fn pool(&self, address: &Address) -> Option<&Pool> {
         self.pools.get(address)
--- a/crates/flow/src/home.rs
+++ b/crates/flow/src/home.rs
@@ -427,11 +427,7 @@
             }
         }
         for key in dead {
-            if self.openings.get(&key).is_some_and(|opening| opening.moved) {
-                self.openings.swap_remove(&key);
-            } else {
-                self.remove_flow(&key);
-            }
+            self.drop_opening(&key);
         }
         for key in late {
             self.try_elsewhere(now, key, out);
@@ -477,12 +473,21 @@
         if self.openings.len() >= self.cfg.max_openings {
             let victim = self.rng.usize(..self.openings.len());
             let victim = self.openings.get_index(victim).map(|(key, _)| *key);
-            victim.inspect(|key| self.remove_flow(key));
+            victim.inspect(|key| self.drop_opening(key));
             self.counters.add(Count::Evicted);
         }
         self.openings.insert(key, opening);
     }
 
+    /// Removes an opening, and its flow unless that has another home by now.
+    fn drop_opening(&mut self, key: &Key) {
+        if self.openings.get(key).is_some_and(|opening| opening.moved) {
+            self.openings.swap_remove(key);
+        } else {
+            self.remove_flow(key);
+        }
+    }
+
     /// Removes a flow and what the pool counts for it.
     pub(crate) fn remove_flow(&mut self, key: &Key) {
         if let Some(flow) = self.flows.remove(key) {
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -351,7 +351,8 @@
             return;
         }
         let silent = self.idle && self.answered > 0 && !cx.closing;
-        if until > cx.now || silent {
+        let last = self.idle && cx.closing;
+        if silent || (until > cx.now && !last) {
             return;
         }
         let finished = cx.cfg.requests.is_some_and(|requests| self.answered >= requests);
