Choose the least used upstream that has been left alone the longest

Cause: ties among upstreams with the same own count are the rule with 14 upstreams and 4 deciders, and random tie-breaking wastes idle slots. Order by last opening or closing lets it wait its turn.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -40,12 +40,16 @@
 #[derive(Debug, Clone, Default)]
 pub struct Pool {
     upstreams: IndexMap<Ipv4Addr, State>,
+    /// Count of flows opened and closed.
+    changes: u64,
 }
 
 #[derive(Debug, Clone)]
 struct State {
     spec: Spec,
     open: u32,
+    /// The count of changes when a flow was last opened or closed here.
+    last_change: u64,
     cold_since: Option<Timestamp>,
     cold_opens: Budget,
 }
@@ -69,6 +73,10 @@
 
     /// Chooses the upstream for a new flow and counts the flow there.
     ///
+    /// The one with the fewest own flows per weight wins. Among equals it is the one that has been
+    /// left alone the longest: that spreads flows evenly over idle upstreams, and one that is slow
+    /// to finish waits its turn again.
+    ///
     /// # Errors
     ///
     /// Returns why no upstream may take the flow.
@@ -77,7 +85,6 @@
         now: Timestamp,
         share: Share,
         exclude: &[Ipv4Addr],
-        rng: &mut fastrand::Rng,
     ) -> Result<Ipv4Addr, Refusal> {
         if !self.upstreams.values().any(|state| state.spec.eligible) {
             return Err(Refusal::NoneEligible);
@@ -87,14 +94,16 @@
             .iter_mut()
             .filter_map(|(ip, state)| {
                 let fits = !exclude.contains(ip) && state.has_room(now, share);
-                fits.then(|| (state.cost(), rng.u32(..), *ip))
+                fits.then(|| (state.cost(), state.last_change, *ip))
             })
             .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let Some((_, _, ip)) = best else {
             return Err(Refusal::AllAtLimit);
         };
+        self.changes += 1;
         let state = &mut self.upstreams[&ip];
         state.open += 1;
+        state.last_change = self.changes;
         state.spend_cold_open(now, share);
         Ok(ip)
     }
@@ -108,8 +117,10 @@
 
     /// Counts the end of a flow.
     pub fn close(&mut self, upstream: Ipv4Addr) {
+        self.changes += 1;
         if let Some(state) = self.upstreams.get_mut(&upstream) {
             state.open = state.open.saturating_sub(1);
+            state.last_change = self.changes;
         }
     }
 
@@ -152,7 +163,7 @@
 impl State {
     fn cold(now: Timestamp, spec: Spec) -> Self {
         let cold_opens = Budget::new(now, 0.0, 0.0);
-        let mut state = Self { spec, open: 0, cold_since: None, cold_opens };
+        let mut state = Self { spec, open: 0, last_change: 0, cold_since: None, cold_opens };
         state.start_cold(now);
         state
     }
--- a/crates/fakes/src/upstream.rs
+++ b/crates/fakes/src/upstream.rs
@@ -56,6 +56,7 @@
     host: Host,
     handle: SocketHandle,
     wake_at: Option<Timestamp>,
+    opened: Timestamp,
 }
 
 #[derive(Debug)]
@@ -93,6 +94,18 @@
         self.connections.len()
     }
 
+    /// Connections opened since the upstream was cold; those that a zone's removal has given up
+    /// stay silent and are no load.
+    pub fn open_since_cold(&self) -> usize {
+        let counts = |c: &&Connection| self.cold_since.is_none_or(|cold| c.opened >= cold);
+        self.connections.values().filter(counts).count()
+    }
+
+    /// Whether it has a connection of a flow.
+    pub fn holds(&self, key: &Key) -> bool {
+        self.connections.contains_key(key)
+    }
+
     /// Takes a packet; returns packets to be sent.
     pub fn receive(&mut self, now: Timestamp, bytes: &[u8], seen: &mut Seen) -> Vec<Vec<u8>> {
         let Ok(view) = View::parse(bytes) else {
@@ -192,7 +205,7 @@
         let handle = host.add_socket(RX_BYTES, TX_BYTES);
         let listens = host.socket(handle).listen(self.service.port());
         debug_assert!(listens.is_ok());
-        self.connections.insert(key, Connection { host, handle, wake_at: None });
+        self.connections.insert(key, Connection { host, handle, wake_at: None, opened: now });
     }
 }
 
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -509,7 +509,7 @@
             return;
         };
         let packets = upstream.receive(self.now, bytes, &mut self.seen);
-        let open = upstream.open() as f64;
+        let open = upstream.open_since_cold() as f64;
         let cap = f64::from(self.cfg.limits.flows_at(self.now, upstream.cold_since));
         self.seen.peak_over_cap = self.seen.peak_over_cap.max(open / cap);
         self.spray(INNER_DELAY, Origin::Upstream(ip), packets);
@@ -567,6 +567,7 @@
     fn step_caller(&mut self, index: usize) {
         let was = self.callers[index].phase;
         let (packets, next) = self.callers[index].step(self.now, &mut self.seen);
+        self.attribute_broken(index);
         if was == Phase::Opening && self.callers[index].phase == Phase::Over {
             self.check_refusal(index);
         }
@@ -576,6 +577,18 @@
         }
     }
 
+    /// A flow that broke before its first answer is counted at the upstream that holds it.
+    fn attribute_broken(&mut self, index: usize) {
+        let Some(count) = self.seen.broken.swap_remove(&Ipv4Addr::UNSPECIFIED) else {
+            return;
+        };
+        let caller = SocketAddrV4::new(caller_ip(index), CALLER_PORT);
+        let key = Key::new(Protocol::Tcp, caller, self.service.address.socket);
+        let holder = self.upstreams.values().find(|upstream| upstream.holds(&key));
+        let holder = holder.map_or(Ipv4Addr::BROADCAST, |upstream| upstream.ip);
+        *self.seen.broken.entry(holder).or_default() += count;
+    }
+
     /// A refused flow must not have run anything; nothing was sent, so nothing can have.
     fn check_refusal(&mut self, index: usize) {
         if self.callers[index].upstream.is_some() {
--- a/crates/flow/src/home.rs
+++ b/crates/flow/src/home.rs
@@ -219,7 +219,7 @@
         else {
             return Verdict::Drop(Count::NoService);
         };
-        let Ok(upstream) = pool.open(now, self.share, &[], &mut self.rng) else {
+        let Ok(upstream) = pool.open(now, self.share, &[]) else {
             return Verdict::Refuse;
         };
         let opening = Opening {
@@ -463,7 +463,7 @@
         if !self.retries.take(now, 1.0) {
             return false;
         }
-        let Ok(upstream) = pool.open(now, self.share, &opening.tried, &mut self.rng) else {
+        let Ok(upstream) = pool.open(now, self.share, &opening.tried) else {
             return false;
         };
         opening.tried.push(upstream);
