Try: hand over counts and adopt learned flows when slots move (failed)

Change: the old home tells the new one how many flows it hands over at each upstream, and learned flows of slots that come here are adopted.

--- a/crates/ibis-entry/src/traffic/thread.rs
+++ b/crates/ibis-entry/src/traffic/thread.rs
@@ -143,7 +143,9 @@
             match self.commands.try_recv() {
                 Ok(Command::Members { homes, known, possible }) => {
                     let share = Share { entries: possible };
-                    self.engine.set_members(self.clock.now(), &homes, share);
+                    let now = self.clock.now();
+                    self.engine.set_members(now, &homes, share, &mut self.out);
+                    self.carry_out(&[]);
                     self.known = known;
                 }
                 Ok(Command::Services(services)) => {
