--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -48,8 +48,6 @@
 struct State {
     spec: Spec,
     open: u32,
-    /// Flows opened by former homes that are now decided here but have not been heard of yet.
-    handed_over: u32,
     /// The count of changes when a flow was last opened or closed here.
     last_change: u64,
     cold_since: Option<Timestamp>,
@@ -114,15 +112,6 @@
     pub fn adopt(&mut self, upstream: Ipv4Addr) {
         if let Some(state) = self.upstreams.get_mut(&upstream) {
             state.open += 1;
-            state.handed_over = state.handed_over.saturating_sub(1);
-        }
-    }
-
-    /// Notes flows whose former home says that they are decided here from now on. Each counts
-    /// until it is adopted.
-    pub fn hand_over(&mut self, upstream: Ipv4Addr, flows: u32) {
-        if let Some(state) = self.upstreams.get_mut(&upstream) {
-            state.handed_over = state.handed_over.saturating_add(flows);
         }
     }
 
@@ -174,8 +163,7 @@
 impl State {
     fn cold(now: Timestamp, spec: Spec) -> Self {
         let cold_opens = Budget::new(now, 0.0, 0.0);
-        let mut state =
-            Self { spec, open: 0, handed_over: 0, last_change: 0, cold_since: None, cold_opens };
+        let mut state = Self { spec, open: 0, last_change: 0, cold_since: None, cold_opens };
         state.start_cold(now);
         state
     }
@@ -190,7 +178,7 @@
             return false;
         }
         let limit = share.of(self.spec.limits.flows_at(now, self.cold_since));
-        if self.open.saturating_add(self.handed_over) >= limit {
+        if self.open >= limit {
             return false;
         }
         self.cold_rate(now, share).is_none_or(|rate| {
--- a/crates/fakes/src/entry.rs
+++ b/crates/fakes/src/entry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use balance::Share;
-use flow::{Action, Engine, Id, Services, Settings};
+use flow::{Engine, Id, Services, Settings};
 use membership::{Heartbeat, Members, Timing};
 use stdx::time::Timestamp;
 
@@ -42,8 +42,6 @@
     pub frozen_until: Timestamp,
     /// Count of its starts; events of an earlier life are dropped.
     pub lives: u32,
-    /// What its engine wants done after a change of its view.
-    pub out: Vec<Action>,
     members: Members,
     started: Timestamp,
     sequence: u64,
@@ -61,7 +59,6 @@
             life: Life::Running,
             frozen_until: now,
             lives: 1,
-            out: Vec::new(),
             started: now,
             sequence: 0,
             has_services: false,
@@ -123,6 +120,6 @@
     fn update_view(&mut self, now: Timestamp) {
         let view = self.members.view(now);
         let homes: Vec<Id> = view.homes.iter().copied().map(Id).collect();
-        self.engine.set_members(now, &homes, Share { entries: view.possible }, &mut self.out);
+        self.engine.set_members(now, &homes, Share { entries: view.possible });
     }
 }
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -215,7 +215,6 @@
             self.now = at;
             if let Some(event) = self.events.remove(&id) {
                 self.handle(event);
-                self.carry_out_views();
             }
         }
         self.now = until;
@@ -426,15 +425,6 @@
         }
     }
 
-    fn carry_out_views(&mut self) {
-        for entry in 0..self.entries.len() {
-            if !self.entries[entry].out.is_empty() {
-                let actions = std::mem::take(&mut self.entries[entry].out);
-                self.carry_out(entry, actions, &[]);
-            }
-        }
-    }
-
     fn carry_out(&mut self, entry: usize, actions: Vec<Action>, packet: &[u8]) {
         for action in actions {
             match action {
--- a/crates/flow/src/action.rs
+++ b/crates/flow/src/action.rs
@@ -63,13 +63,6 @@
         },
         /// Answers that the flow is not known.
         Unknown(Key),
-        /// Tells how many flows at an upstream are the receiver's from now on.
-        Handover {
-            /// The upstream.
-            upstream: Ipv4Addr,
-            /// Number of flows.
-            flows: u32,
-        },
         /// Tells that a flow is not held by an upstream, so that it is not learned from there.
         Forget {
             /// The flow.
--- a/crates/flow/src/engine.rs
+++ b/crates/flow/src/engine.rs
@@ -14,7 +14,7 @@
 
 use crate::action::{Action, Message, Origin, Relay, Target};
 use crate::count::{Count, Counters};
-use crate::home::{HomeFlow, Opening, State};
+use crate::home::{HomeFlow, Opening};
 use crate::homes::{Homes, Id};
 use crate::key::{HashKey, Key, Slot};
 use crate::recovery::Pending;
@@ -161,11 +161,6 @@
                 self.on_known(now, key, upstream, opening, out);
             }
             Message::Unknown(key) => self.on_unknown(now, key, out),
-            Message::Handover { upstream, flows } => {
-                for pool in self.pools.values_mut() {
-                    pool.hand_over(upstream, flows);
-                }
-            }
             Message::Forget { key, upstream } => self.forget(&key, upstream),
         }
     }
@@ -179,65 +174,25 @@
 
     /// Takes over the live entries and the number of entries that may be opening flows.
     ///
-    /// Flows whose home is now another entry are kept as learned, so that the new home can ask, and
-    /// it is told how many there are at each upstream, so that limits hold. Learned flows whose
-    /// home is now this entry are adopted.
-    ///
-    /// An entry that becomes the home again starts from what it learned: what it knew as the home
-    /// may be stale by then.
-    pub fn set_members(
-        &mut self,
-        now: Timestamp,
-        members: &[Id],
-        share: Share,
-        out: &mut Vec<Action>,
-    ) {
+    /// Flows whose home is now another entry are kept as learned, so that the new home can ask. An
+    /// entry that becomes the home again starts from nothing: what it knew may be stale by then.
+    pub fn set_members(&mut self, now: Timestamp, members: &[Id], share: Share) {
         self.share = share;
-        if self.homes.members() == members {
-            return;
-        }
         self.homes.set_members(now, members);
-        self.release_moved(now, out);
-        self.adopt_learned(now);
-    }
-
-    fn release_moved(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let own = self.cfg.id;
-        let moved: Vec<(Key, HomeFlow, Option<Id>)> = self
+        let (id, hash, homes) = (self.cfg.id, self.cfg.hash, &self.homes);
+        let moved: Vec<(Key, HomeFlow)> = self
             .flows
             .iter()
-            .map(|(key, flow)| (*key, *flow, self.homes.of(self.slot(key))))
-            .filter(|(_, _, home)| *home != Some(own))
+            .filter(|(key, _)| homes.of(key.slot(hash)) != Some(id))
+            .map(|(key, flow)| (*key, *flow))
             .collect();
-        let mut handed_over: IndexMap<(Id, Ipv4Addr), u32> = IndexMap::new();
-        for (key, flow, home) in moved {
+        for (key, flow) in moved {
             if flow.is_settled() {
                 self.remove_flow(&key);
                 self.learn(now, key, flow.upstream);
             } else {
                 self.hand_over_opening(key);
             }
-            if let Some(home) = home.filter(|_| flow.is_open()) {
-                *handed_over.entry((home, flow.upstream)).or_default() += 1;
-            }
-        }
-        out.extend(handed_over.into_iter().map(|((to, upstream), flows)| Action::Tell {
-            to,
-            message: Message::Handover { upstream, flows },
-        }));
-    }
-
-    fn adopt_learned(&mut self, now: Timestamp) {
-        let own = self.cfg.id;
-        let mine: Vec<(Key, Ipv4Addr)> = self
-            .learned
-            .iter()
-            .filter(|(key, _)| self.homes.of(self.slot(key)) == Some(own))
-            .filter(|(key, _)| self.flows.get(key).is_none())
-            .map(|(key, learned)| (*key, learned.upstream))
-            .collect();
-        for (key, upstream) in mine {
-            self.insert_settled(now, key, upstream, State::Recovered);
         }
     }
 
--- a/crates/flow/src/home.rs
+++ b/crates/flow/src/home.rs
@@ -89,11 +89,6 @@
         self.state != State::Opening
     }
 
-    /// Whether the flow counts at its upstream.
-    pub(crate) fn is_open(&self) -> bool {
-        self.state != State::Closing
-    }
-
     fn new(now: Timestamp, upstream: Ipv4Addr, isn: u32, state: State) -> Self {
         let seen_s = now.as_secs() as u32;
         Self { upstream, seen_s, isn, state, fin_caller: false, fin_upstream: false }
--- a/crates/flow/tests/hostile.rs
+++ b/crates/flow/tests/hostile.rs
@@ -99,7 +99,7 @@
                 Step::Members { own, peer } => {
                     let own = own.then_some(support::SELF);
                     let members: Vec<Id> = own.into_iter().chain(peer.then_some(PEER)).collect();
-                    engine.set_members(now, &members, balance::Share { entries: 2 }, &mut Vec::new());
+                    engine.set_members(now, &members, balance::Share { entries: 2 });
                 }
             }
             prop_assert!(engine.flow_count() <= 8, "{} flows", engine.flow_count());
--- a/crates/flow/tests/moved_slots.rs
+++ b/crates/flow/tests/moved_slots.rs
@@ -21,7 +21,7 @@
     let first = support::give(&mut engine, NOW, Origin::Caller, &support::syn());
     let first = support::upstreams(&first)[0];
 
-    engine.set_members(NOW, &[PEER], BOTH, &mut Vec::new());
+    engine.set_members(NOW, &[PEER], BOTH);
     let late = NOW + Duration::from_millis(400);
     assert_eq!(support::tick(&mut engine, late), [], "retried an opening of another home");
 
@@ -32,8 +32,8 @@
     assert_eq!(out, [Action::Tell { to: PEER, message: known }]);
 
     let back = NOW + SETTLED;
-    engine.set_members(back, &[SELF, PEER], BOTH, &mut Vec::new());
-    engine.set_members(back, &[SELF], BOTH, &mut Vec::new());
+    engine.set_members(back, &[SELF, PEER], BOTH);
+    engine.set_members(back, &[SELF], BOTH);
     support::tick(&mut engine, back);
     let sent = support::give(&mut engine, back, Origin::Caller, &support::data());
     assert!(!support::upstreams(&sent).contains(&first) || support::upstreams(&sent).len() > 1);
@@ -45,7 +45,7 @@
 fn settled_moved_away() {
     let mut engine = support::engine(Protocol::Tcp);
     let upstream = support::open(&mut engine, NOW);
-    engine.set_members(NOW, &[PEER], BOTH, &mut Vec::new());
+    engine.set_members(NOW, &[PEER], BOTH);
 
     let mut out = Vec::new();
     let key = support::key(Protocol::Tcp);
--- a/crates/flow/tests/support/mod.rs
+++ b/crates/flow/tests/support/mod.rs
@@ -130,7 +130,7 @@
     let start = Timestamp(NOW.0 - 10_000_000);
     let mut engine = Engine::new(start, cfg);
     engine.set_services(start, services([service]));
-    engine.set_members(start, &[SELF], Share::SOLE, &mut Vec::new());
+    engine.set_members(start, &[SELF], Share::SOLE);
     engine
 }
 
--- a/crates/ibis-entry/src/traffic/thread.rs
+++ b/crates/ibis-entry/src/traffic/thread.rs
@@ -143,9 +143,7 @@
             match self.commands.try_recv() {
                 Ok(Command::Members { homes, known, possible }) => {
                     let share = Share { entries: possible };
-                    let now = self.clock.now();
-                    self.engine.set_members(now, &homes, share, &mut self.out);
-                    self.carry_out(&[]);
+                    self.engine.set_members(self.clock.now(), &homes, share);
                     self.known = known;
                 }
                 Ok(Command::Services(services)) => {
--- a/crates/ibis-entry/src/wire.rs
+++ b/crates/ibis-entry/src/wire.rs
@@ -45,9 +45,6 @@
             opening,
         }),
         Message::Unknown(key) => Kind::Unknown(key_out(key)),
-        Message::Handover { upstream, flows } => {
-            Kind::Handover(v1::Handover { upstream: upstream.to_bits(), flows })
-        }
         Message::Forget { key, upstream } => {
             Kind::Forget(v1::Forget { key: Some(key_out(key)), upstream: upstream.to_bits() })
         }
@@ -65,10 +62,6 @@
             opening: known.opening,
         },
         Kind::Unknown(key) => Message::Unknown(key_in(&key)?),
-        Kind::Handover(handover) => Message::Handover {
-            upstream: Ipv4Addr::from_bits(handover.upstream),
-            flows: handover.flows,
-        },
         Kind::Forget(forget) => Message::Forget {
             key: key_in(&forget.key?)?,
             upstream: Ipv4Addr::from_bits(forget.upstream),
--- a/crates/ibis-entry/tests/wire.rs
+++ b/crates/ibis-entry/tests/wire.rs
@@ -30,7 +30,6 @@
         Message::Ask(key),
         Message::Known { key, upstream: UPSTREAM, opening: true },
         Message::Unknown(key),
-        Message::Handover { upstream: UPSTREAM, flows: 7 },
         Message::Forget { key, upstream: UPSTREAM },
     ] {
         check(wire::message(message), Incoming::Message(message));
