Let the home judge replies of unknown senders, and tell callers of lost flows

Change: an entry that is not the home relays such a reply to the home, which drops it if the sender is no upstream there either. Found while writing the tests: when no upstream holds a lost flow, the last one's reset was swallowed each time, so that the caller hung instead of being told. The last one left is now the holder or its reset is the truth (probe_refused_by_all fails before, passes now).

--- a/crates/flow/src/engine.rs
+++ b/crates/flow/src/engine.rs
@@ -249,15 +249,16 @@
         let Some(service) = self.services.get(&packet.key.address()) else {
             return Verdict::Drop(Count::NoService);
         };
-        if let Side::Upstream(ip) = packet.side {
-            match service.stage(ip) {
-                None => return Verdict::Drop(Count::ForeignUpstream),
-                Some(Stage::Out) => return Verdict::Drop(Count::ZoneOut),
-                Some(Stage::Active | Stage::Draining) => {}
-            }
+        let stage = packet.upstream().map(|ip| service.stage(ip));
+        if stage == Some(Some(Stage::Out)) {
+            return Verdict::Drop(Count::ZoneOut);
         }
+        let is_foreign = stage == Some(None);
         match self.homes.of(self.slot(&packet.key)) {
             None => Verdict::Drop(Count::NoHome),
+            // The home may have a newer document, in which the sender is an upstream.
+            Some(home) if is_foreign && home != self.cfg.id => self.relay(packet, home),
+            Some(_) if is_foreign => Verdict::Drop(Count::ForeignUpstream),
             Some(home) if home == self.cfg.id => self.decide_as_home(now, packet, out),
             Some(home) => self.decide_as_relay(now, packet, home),
         }
--- a/crates/flow/src/recovery.rs
+++ b/crates/flow/src/recovery.rs
@@ -231,7 +231,7 @@
         }
         let untried = self.probe_candidates(&key);
         if let [only] = untried[..] {
-            return self.resolve(now, key, only, State::Recovered, out);
+            return self.resolve(now, key, only, State::Established, out);
         }
         if let Some(pending) = self.pending.get_mut(&key) {
             pending.phase = Phase::Probing { waiting: Vec::new(), untried, until: now };
@@ -295,7 +295,8 @@
         }
     }
 
-    /// An upstream said that it does not hold the flow. The last one left must be the holder.
+    /// An upstream said that it does not hold the flow. If anyone does it is the last one left; a
+    /// reset from that one is the truth and is passed on.
     fn on_probe_refused(&mut self, now: Timestamp, key: Key, ip: Ipv4Addr, out: &mut Vec<Action>) {
         let Some(pending) = self.pending.get_mut(&key) else {
             return;
@@ -307,7 +308,7 @@
         match (waiting.as_slice(), untried.as_slice()) {
             ([only], []) => {
                 let only = *only;
-                self.resolve(now, key, only, State::Recovered, out);
+                self.resolve(now, key, only, State::Established, out);
             }
             ([], []) => self.reject(key, out),
             ([], _) => self.probe_next(now, key, out),
--- /dev/null
+++ b/crates/flow/tests/foreign.rs
@@ -0,0 +1,86 @@
+//! Packets from and to others than the service's own upstreams.
+
+mod support;
+
+use std::net::Ipv4Addr;
+
+use balance::Share;
+use flow::service::Stage;
+use flow::{Action, Count, Origin, Target};
+use packet::Protocol;
+use support::{NOW, PEER, SELF, U1};
+
+const STRANGER: Ipv4Addr = Ipv4Addr::new(127, 9, 0, 1);
+
+/// Another entry is the home: it may have a newer document, in which the sender is an upstream.
+///
+/// Found by `measure zone`: the answers of a new upstream were dropped by entries that did not know
+/// it yet, the openings were retried elsewhere, and it held more connections than were counted.
+#[test]
+fn foreign_reply_elsewhere() {
+    let mut engine = support::engine(Protocol::Tcp);
+    engine.set_members(NOW, &[PEER], Share { entries: 2 });
+    let out = support::give(&mut engine, NOW, Origin::Upstream(STRANGER), &support::answer());
+    let to = Target::Peer { to: PEER, upstream: Some(STRANGER), hops: 1 };
+    assert_eq!(out, [Action::Forward(to)]);
+    assert_eq!(engine.learned_count(), 0, "learned from a stranger");
+}
+
+#[test]
+fn foreign_reply_at_home() {
+    let mut engine = support::engine(Protocol::Tcp);
+    support::open(&mut engine, NOW);
+    let out = support::give(&mut engine, NOW, Origin::Upstream(STRANGER), &support::answer());
+    assert_eq!(out, []);
+    assert_eq!(engine.counters().get(Count::ForeignUpstream), 1);
+}
+
+/// A packet for an address that is no service is dropped.
+#[test]
+fn unknown_service() {
+    let mut engine = support::engine(Protocol::Udp);
+    let out = support::give(&mut engine, NOW, Origin::Caller, &support::syn());
+    assert_eq!(out, []);
+    assert_eq!(engine.counters().get(Count::NoService), 1);
+}
+
+/// A zone taken out gets no packet more, and callers there are told.
+#[test]
+fn zone_out() {
+    for home in [SELF, PEER] {
+        let mut engine = support::engine(Protocol::Tcp);
+        let upstream = support::open(&mut engine, NOW);
+        engine.set_members(NOW, &[home], Share { entries: 2 });
+        let mut service = support::service(Protocol::Tcp);
+        service.upstreams[&upstream].stage = Stage::Out;
+        engine.set_services(NOW, support::services([service]));
+
+        let out = support::give(&mut engine, NOW, Origin::Caller, &support::data());
+        assert!(support::upstreams(&out).is_empty(), "home {home:?}");
+        assert!(support::resets_caller(&out), "home {home:?}");
+        let out = support::give(&mut engine, NOW, Origin::Upstream(upstream), &support::answer());
+        assert_eq!(out, [], "home {home:?}");
+    }
+}
+
+/// A draining upstream keeps its flows and gets no new ones.
+#[test]
+fn draining() {
+    let mut engine = support::engine(Protocol::Tcp);
+    let upstream = support::open(&mut engine, NOW);
+    let mut service = support::service(Protocol::Tcp);
+    for other in service.upstreams.values_mut() {
+        other.stage = Stage::Draining;
+    }
+    service.upstreams[&U1].stage = Stage::Draining;
+    engine.set_services(NOW, support::services([service]));
+
+    let out = support::give(&mut engine, NOW, Origin::Caller, &support::data());
+    assert_eq!(support::upstreams(&out), [upstream]);
+    let other_port = std::net::SocketAddrV4::new(*support::CALLER.ip(), 6_000);
+    let tcp = support::Tcp { syn: true, seq: 9, ..support::Tcp::default() };
+    let opening = support::segment(other_port, support::SERVICE, tcp);
+    let out = support::give(&mut engine, NOW, Origin::Caller, &opening);
+    assert!(support::upstreams(&out).is_empty());
+    assert!(support::resets_caller(&out), "not refused");
+}
--- /dev/null
+++ b/crates/flow/tests/opening.rs
@@ -0,0 +1,117 @@
+//! Openings: retries, refusals and the first answer.
+
+mod support;
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use flow::{Count, Origin};
+use packet::Protocol;
+use support::{NOW, SERVICE};
+
+fn after(millis: u64) -> stdx::time::Timestamp {
+    NOW + Duration::from_millis(millis)
+}
+
+/// An unanswered opening is tried elsewhere; the first answer wins, the other upstream is freed.
+#[test]
+fn retry_first_answer_wins() {
+    let mut engine = support::engine(Protocol::Tcp);
+    let out = support::give(&mut engine, NOW, Origin::Caller, &support::syn());
+    let first = support::upstreams(&out)[0];
+    assert_eq!(support::tick(&mut engine, after(299)), []);
+    let second = support::upstreams(&support::tick(&mut engine, after(301)))[0];
+    assert_ne!(first, second);
+
+    let answer = support::syn_ack(5);
+    let out = support::give(&mut engine, after(302), Origin::Upstream(first), &answer);
+    assert!(support::passes_to_caller(&out));
+    let answer = support::syn_ack(9);
+    let out = support::give(&mut engine, after(303), Origin::Upstream(second), &answer);
+    assert!(!support::passes_to_caller(&out));
+    assert_eq!(support::upstreams(&out), [second], "the other upstream is not freed");
+    let out = support::give(&mut engine, after(304), Origin::Caller, &support::data());
+    assert_eq!(support::upstreams(&out), [first]);
+}
+
+/// An opening that carries payload reaches one upstream only.
+#[test]
+fn retry_with_payload() {
+    let mut engine = support::engine(Protocol::Tcp);
+    let tcp = support::Tcp { syn: true, seq: 1_000, payload: b"order", ..Default::default() };
+    let opening = support::segment(support::CALLER, SERVICE, tcp);
+    support::give(&mut engine, NOW, Origin::Caller, &opening);
+    for millis in [400, 1_000, 5_000] {
+        assert_eq!(support::tick(&mut engine, after(millis)), []);
+    }
+}
+
+/// A refusal is passed on only when no other upstream is left to ask.
+#[test]
+fn refused_by_all() {
+    let mut engine = support::engine(Protocol::Tcp);
+    let out = support::give(&mut engine, NOW, Origin::Caller, &support::syn());
+    let mut upstream = support::upstreams(&out)[0];
+    let mut tried = vec![upstream];
+    let reset = support::reset_from_service();
+    loop {
+        let out = support::give(&mut engine, NOW, Origin::Upstream(upstream), &reset);
+        if support::passes_to_caller(&out) {
+            break;
+        }
+        upstream = support::upstreams(&out)[0];
+        tried.push(upstream);
+    }
+    tried.sort_unstable();
+    tried.dedup();
+    assert_eq!(tried.len(), 3);
+    assert_eq!(engine.flow_count(), 0);
+}
+
+/// Retries keep to their share of openings once the burst is used up.
+#[test]
+fn retry_budget() {
+    let mut cfg = support::settings();
+    cfg.retry_percent = 10;
+    cfg.max_openings = 10_000;
+    cfg.max_flows = 10_000;
+    let mut engine = support::engine_with(cfg, support::service(Protocol::Tcp));
+    for n in 0..1_000_u16 {
+        let caller = std::net::SocketAddrV4::new(Ipv4Addr::new(10, 4, 0, 1), 1_000 + n);
+        let tcp = support::Tcp { syn: true, seq: 1, ..Default::default() };
+        support::give(&mut engine, NOW, Origin::Caller, &support::segment(caller, SERVICE, tcp));
+    }
+    support::tick(&mut engine, after(400));
+    let retried = engine.counters().get(Count::OpeningRetried);
+    assert!((32..=132).contains(&retried), "{retried} retries of 1,000 openings");
+}
+
+/// Nothing is refused while there is room, and everything at once when there is none.
+#[test]
+fn refuse_at_limit() {
+    let mut service = support::service(Protocol::Tcp);
+    service.limits.flows = 2;
+    service.limits.cold_flows = 2;
+    let mut engine = support::engine_with(support::settings(), service);
+    let mut refused = 0;
+    for n in 0..9_u16 {
+        let caller = std::net::SocketAddrV4::new(Ipv4Addr::new(10, 4, 0, 1), 1_000 + n);
+        let tcp = support::Tcp { syn: true, seq: 1, ..Default::default() };
+        let opening = support::segment(caller, SERVICE, tcp);
+        let out = support::give(&mut engine, NOW, Origin::Caller, &opening);
+        refused += u32::from(support::resets_caller(&out));
+    }
+    assert_eq!(refused, 3);
+    assert_eq!(engine.counters().get(Count::Refused), 3);
+}
+
+/// A datagram of a service that does not allow repeats goes to one upstream only.
+#[test]
+fn datagram_unanswered() {
+    let mut engine = support::engine(Protocol::Udp);
+    let order = support::datagram(support::CALLER, SERVICE, b"order");
+    let first = support::upstreams(&support::give(&mut engine, NOW, Origin::Caller, &order));
+    assert_eq!(support::tick(&mut engine, after(5_000)), []);
+    let again = support::give(&mut engine, after(5_000), Origin::Caller, &order);
+    assert_eq!(support::upstreams(&again), first);
+}
--- /dev/null
+++ b/crates/flow/tests/recovery.rs
@@ -0,0 +1,113 @@
+//! Flows whose state was lost.
+
+mod support;
+
+use std::time::Duration;
+
+use balance::Share;
+use flow::{Action, Count, Engine, Message, Origin};
+use packet::Protocol;
+use support::{NOW, PEER, SELF, U1, U2, U3};
+
+/// An engine that has just become the home of all slots.
+fn new_home(protocol: Protocol, members: &[flow::Id]) -> Engine {
+    let mut engine = Engine::new(NOW, support::settings());
+    engine.set_services(NOW, support::services([support::service(protocol)]));
+    engine.set_members(NOW, members, Share { entries: 2 });
+    engine
+}
+
+fn sorted(mut upstreams: Vec<std::net::Ipv4Addr>) -> Vec<std::net::Ipv4Addr> {
+    upstreams.sort_unstable();
+    upstreams
+}
+
+/// Nobody knows the flow: its packet is offered to all, resets are swallowed, and the upstream that
+/// is left holds the flow.
+#[test]
+fn probe_by_elimination() {
+    let mut engine = new_home(Protocol::Tcp, &[SELF]);
+    let out = support::give(&mut engine, NOW, Origin::Caller, &support::data());
+    assert_eq!(sorted(support::upstreams(&out)), [U1, U2, U3]);
+    for upstream in [U1, U3] {
+        let reset = support::reset_from_service();
+        assert_eq!(support::give(&mut engine, NOW, Origin::Upstream(upstream), &reset), []);
+    }
+    let out = support::give(&mut engine, NOW, Origin::Caller, &support::data());
+    assert_eq!(support::upstreams(&out), [U2]);
+    assert_eq!(engine.counters().get(Count::Recovered), 1);
+}
+
+#[test]
+fn probe_answered() {
+    let mut engine = new_home(Protocol::Tcp, &[SELF]);
+    support::give(&mut engine, NOW, Origin::Caller, &support::data());
+    let out = support::give(&mut engine, NOW, Origin::Upstream(U3), &support::answer());
+    assert!(support::passes_to_caller(&out));
+    let out = support::give(&mut engine, NOW, Origin::Caller, &support::data());
+    assert_eq!(support::upstreams(&out), [U3]);
+}
+
+/// When no upstream holds the flow the caller is told.
+#[test]
+fn probe_refused_by_all() {
+    let mut engine = new_home(Protocol::Tcp, &[SELF]);
+    support::give(&mut engine, NOW, Origin::Caller, &support::data());
+    let reset = support::reset_from_service();
+    for upstream in [U1, U2] {
+        assert_eq!(support::give(&mut engine, NOW, Origin::Upstream(upstream), &reset), []);
+    }
+    let out = support::give(&mut engine, NOW, Origin::Upstream(U3), &reset);
+    assert!(support::passes_to_caller(&out), "the caller hangs");
+}
+
+/// A stale answer of a peer does not break the flow: the reset of an upstream that was found but
+/// has not confirmed is swallowed, and the next packet looks further.
+#[test]
+fn ask_answered_wrongly() {
+    let mut engine = new_home(Protocol::Tcp, &[SELF, PEER]);
+    let key = support::key(Protocol::Tcp);
+    let out = support::give(&mut engine, NOW, Origin::Caller, &support::data());
+    assert_eq!(out, [Action::Tell { to: PEER, message: Message::Ask(key) }]);
+
+    let mut out = Vec::new();
+    let known = Message::Known { key, upstream: U2, opening: false };
+    engine.on_message(NOW, PEER, known, &mut out);
+    assert_eq!(support::upstreams(&out), [U2]);
+
+    let reset = support::reset_from_service();
+    let out = support::give(&mut engine, NOW, Origin::Upstream(U2), &reset);
+    assert!(!support::passes_to_caller(&out));
+    assert_eq!(engine.flow_count(), 0);
+}
+
+/// A datagram that may not be repeated is never offered to several upstreams.
+#[test]
+fn datagram_not_probed() {
+    let mut engine = new_home(Protocol::Udp, &[SELF]);
+    let order = support::datagram(support::CALLER, support::SERVICE, b"order");
+    let out = support::give(&mut engine, NOW, Origin::Caller, &order);
+    assert_eq!(support::upstreams(&out).len(), 1);
+}
+
+/// Long after the slot moved, an unknown segment is answered with a reset and probes nobody.
+#[test]
+fn unknown_after_window() {
+    let mut engine = new_home(Protocol::Tcp, &[SELF]);
+    let late = NOW + Duration::from_hours(3);
+    let out = support::give(&mut engine, late, Origin::Caller, &support::data());
+    assert!(support::upstreams(&out).is_empty());
+    assert!(support::resets_caller(&out));
+}
+
+/// Without budget the packet is dropped in silence: a reset might be false.
+#[test]
+fn probe_without_budget() {
+    let mut cfg = support::settings();
+    cfg.probes_per_s = 0;
+    let mut engine = Engine::new(NOW, cfg);
+    engine.set_services(NOW, support::services([support::service(Protocol::Tcp)]));
+    engine.set_members(NOW, &[SELF], Share::SOLE);
+    assert_eq!(support::give(&mut engine, NOW, Origin::Caller, &support::data()), []);
+    assert_eq!(engine.counters().get(Count::RecoveryBusy), 1);
+}
