--- /dev/null
+++ b/crates/balance/tests/pool.rs
@@ -0,0 +1,124 @@
+//! Choice, limits, ramps and shares.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use balance::{Budget, Limits, Pool, Refusal, Share, Spec};
+use proptest::prelude::*;
+use stdx::time::Timestamp;
+
+const START: Timestamp = Timestamp::from_secs(1_000);
+
+const LIMITS: Limits =
+    Limits { flows: 100, cold_flows: 20, cold_opens_per_s: 40, ramp: Duration::from_secs(10) };
+
+fn ip(n: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 2, 0, n)
+}
+
+fn spec(n: u8, weight: u32) -> Spec {
+    Spec { upstream: ip(n), weight, eligible: true, limits: LIMITS }
+}
+
+fn pool(specs: &[Spec]) -> Pool {
+    let mut pool = Pool::default();
+    pool.apply(START, specs);
+    pool
+}
+
+/// Opens as many flows as possible at a time.
+fn fill(pool: &mut Pool, now: Timestamp, share: Share) -> u32 {
+    std::iter::repeat_with(|| pool.open(now, share, &[])).take_while(Result::is_ok).count() as u32
+}
+
+#[test]
+fn open_by_weight() {
+    let warm = START + LIMITS.ramp;
+    let mut pool = pool(&[spec(1, 1), spec(2, 3)]);
+    for _ in 0..80 {
+        pool.open(warm, Share::SOLE, &[]).expect("room");
+    }
+    assert_eq!((pool.open_flows(ip(1)), pool.open_flows(ip(2))), (20, 60));
+}
+
+#[test]
+fn open_none_eligible() {
+    let mut pool = pool(&[Spec { eligible: false, ..spec(1, 1) }]);
+    assert_eq!(pool.open(START, Share::SOLE, &[]), Err(Refusal::NoneEligible));
+}
+
+#[test]
+fn open_excluded() {
+    let mut pool = pool(&[spec(1, 1), spec(2, 1)]);
+    assert_eq!(pool.open(START, Share::SOLE, &[ip(1)]), Ok(ip(2)));
+    assert_eq!(pool.open(START, Share::SOLE, &[ip(1), ip(2)]), Err(Refusal::AllAtLimit));
+}
+
+/// An upstream that returns, or collapses, is cold again.
+#[test]
+fn open_returning() {
+    let warm = START + LIMITS.ramp;
+    let mut pool = pool(&[spec(1, 1)]);
+    assert_eq!(fill(&mut pool, warm, Share::SOLE), 100);
+    pool.apply(warm, &[Spec { eligible: false, ..spec(1, 1) }]);
+    (0..100).for_each(|_| pool.close(ip(1)));
+    pool.apply(warm, &[spec(1, 1)]);
+    assert!(fill(&mut pool, warm, Share::SOLE) <= 20);
+    pool.mark_cold(warm + LIMITS.ramp, ip(1));
+    (0..100).for_each(|_| pool.close(ip(1)));
+    assert!(fill(&mut pool, warm + LIMITS.ramp, Share::SOLE) <= 20);
+}
+
+/// A peer that has seen an upstream for longer shortens its ramp here, and never lengthens it.
+#[test]
+fn learn_cold_since_peer() {
+    let mut pool = pool(&[spec(1, 1)]);
+    pool.learn_cold_since(ip(1), START + Duration::from_secs(5));
+    assert!(fill(&mut pool, START, Share::SOLE) <= 20);
+    let earlier = Timestamp(START.0 - 20_000_000);
+    pool.learn_cold_since(ip(1), earlier);
+    fill(&mut pool, START, Share::SOLE);
+    assert_eq!(pool.open_flows(ip(1)), 100);
+}
+
+#[test]
+fn budget_refills() {
+    let mut budget = Budget::new(START, 2.0, 1.0);
+    assert!(budget.take(START, 2.0));
+    assert!(!budget.take(START, 1.0));
+    assert!(budget.take(START + Duration::from_secs(1), 1.0));
+    assert!(!budget.take(START, 0.5), "time that goes back gives nothing");
+}
+
+proptest! {
+    /// However flows come and go, the entries together keep the limits at every moment.
+    #[test]
+    fn shares_keep_limits(
+        entries in 1_u32..9,
+        steps in proptest::collection::vec((0_u64..400, 0_usize..9, any::<bool>()), 1..400),
+    ) {
+        let share = Share { entries };
+        let mut pools = vec![pool(&[spec(1, 1)]); entries as usize];
+        let mut now = START;
+        let mut opened = 0;
+        for (millis, entry, opens) in steps {
+            now = now + Duration::from_millis(millis);
+            let entry = entry % pools.len();
+            if !opens {
+                pools[entry].close(ip(1));
+            } else if pools[entry].open(now, share, &[]).is_ok() {
+                opened += 1;
+                let open: u32 = pools.iter().map(|pool| pool.open_flows(ip(1))).sum();
+                let limit = LIMITS.flows_at(now, Some(START));
+                prop_assert!(open <= limit, "{open} of {limit} open");
+            }
+            let seconds = now.since(START).as_secs_f64();
+            if seconds < 5.0 {
+                // The rate at most doubles in the first half of the ramp; bursts come on top.
+                let burst = f64::from(entries).max(f64::from(LIMITS.cold_opens_per_s));
+                let limit = f64::from(LIMITS.cold_opens_per_s) * 2.0 * seconds + burst;
+                prop_assert!(f64::from(opened) <= limit, "{opened} opened in {seconds} s");
+            }
+        }
+    }
+}
