Avoid upstreams whose openings keep failing

Cause: an upstream that went silent or refused kept its turn among equals, and each opening sent to it waited 300 ms for the retry. Change: after two failures in a row it is chosen only if no other has room, for 1 s and twice as long after each further failure, and then starts cold. A success ends that. A wait without an answer counts once.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -1,6 +1,7 @@
 //! The upstreams of one service as one entry sees them, and the choice among them.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use stdx::time::Timestamp;
@@ -9,6 +10,15 @@
 use crate::ramp::Limits;
 use crate::share::Share;
 
+/// Openings without success in a row after which an upstream is avoided.
+const FAILURES_TO_AVOID: u32 = 2;
+
+/// Time that an upstream is avoided at first; it doubles with each further failure.
+const AVOID_FIRST: Duration = Duration::from_secs(1);
+
+/// Doublings of that time at most.
+const AVOID_DOUBLINGS: u32 = 4;
+
 /// Seconds of the cold opening rate that may be used at once.
 const COLD_BURST_S: f64 = 0.25;
 
@@ -52,6 +62,9 @@
     last_change: u64,
     cold_since: Option<Timestamp>,
     cold_opens: Budget,
+    /// Openings without success since the last success.
+    failures: u32,
+    avoid_until: Timestamp,
 }
 
 impl Pool {
@@ -73,7 +86,7 @@
 
     /// Chooses the upstream for a new flow and counts the flow there.
     ///
-    /// The one with the fewest own flows per weight wins. Among equals it is the one that has been
+    /// Upstreams that keep failing come last. The one with the fewest own flows per weight wins. Among equals it is the one that has been
     /// left alone the longest: that spreads flows evenly over idle upstreams, and one that is slow
     /// to finish waits its turn again.
     ///
@@ -94,10 +107,10 @@
             .iter_mut()
             .filter_map(|(ip, state)| {
                 let fits = !exclude.contains(ip) && state.has_room(now, share);
-                fits.then(|| (state.cost(), state.last_change, *ip))
+                fits.then(|| (state.avoid_until > now, state.cost(), state.last_change, *ip))
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let Some((_, _, ip)) = best else {
+            .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        let Some((.., ip)) = best else {
             return Err(Refusal::AllAtLimit);
         };
         self.changes += 1;
@@ -134,6 +147,28 @@
         self.upstreams.iter().map(|(ip, state)| (*ip, state.open))
     }
 
+    /// Notes that an upstream accepted an opening.
+    pub fn succeeded(&mut self, upstream: Ipv4Addr) {
+        if let Some(state) = self.upstreams.get_mut(&upstream) {
+            state.failures = 0;
+            state.avoid_until = Timestamp::default();
+        }
+    }
+
+    /// Notes that an upstream refused an opening or did not answer it. One that keeps failing is
+    /// chosen only if no other has room, until a while has passed, and starts cold then.
+    pub fn failed(&mut self, now: Timestamp, upstream: Ipv4Addr) {
+        let Some(state) = self.upstreams.get_mut(&upstream) else {
+            return;
+        };
+        state.failures = state.failures.saturating_add(1);
+        let Some(further) = state.failures.checked_sub(FAILURES_TO_AVOID) else {
+            return;
+        };
+        state.avoid_until = now + AVOID_FIRST * 2_u32.pow(further.min(AVOID_DOUBLINGS));
+        state.start_cold(now);
+    }
+
     /// Starts an upstream's ramp again, because it restarted or collapsed.
     pub fn mark_cold(&mut self, now: Timestamp, upstream: Ipv4Addr) {
         if let Some(state) = self.upstreams.get_mut(&upstream) {
@@ -163,7 +198,15 @@
 impl State {
     fn cold(now: Timestamp, spec: Spec) -> Self {
         let cold_opens = Budget::new(now, 0.0, 0.0);
-        let mut state = Self { spec, open: 0, last_change: 0, cold_since: None, cold_opens };
+        let mut state = Self {
+            spec,
+            open: 0,
+            last_change: 0,
+            cold_since: None,
+            cold_opens,
+            failures: 0,
+            avoid_until: now,
+        };
         state.start_cold(now);
         state
     }
--- a/crates/balance/tests/pool.rs
+++ b/crates/balance/tests/pool.rs
@@ -81,6 +81,34 @@
     assert_eq!(pool.open_flows(ip(1)), 100);
 }
 
+/// An upstream that keeps failing is the last choice until a while has passed, and cold then.
+#[test]
+fn open_failing() {
+    let warm = START + LIMITS.ramp;
+    let mut pool = pool(&[spec(1, 1), spec(2, 1)]);
+    pool.failed(warm, ip(1));
+    assert_eq!(pool.open(warm, Share::SOLE, &[]), Ok(ip(1)), "avoided after one failure");
+    pool.failed(warm, ip(1));
+    let chosen: Vec<_> = (0..99).map(|_| pool.open(warm, Share::SOLE, &[])).collect();
+    assert!(chosen.iter().all(|chosen| *chosen == Ok(ip(2))));
+    pool.open(warm, Share::SOLE, &[]).expect("room");
+    assert_eq!(pool.open(warm, Share::SOLE, &[]), Ok(ip(1)), "the last choice is better than none");
+    let later = warm + Duration::from_secs(1);
+    (0..50).for_each(|_| pool.close(ip(2)));
+    assert_eq!(pool.open(later, Share::SOLE, &[]), Ok(ip(1)));
+    assert!(fill(&mut pool, later, Share::SOLE) < 150, "not cold");
+}
+
+/// A success ends it.
+#[test]
+fn open_after_success() {
+    let mut pool = pool(&[spec(1, 1), spec(2, 3)]);
+    (0..5).for_each(|_| pool.failed(START, ip(2)));
+    assert_eq!(pool.open(START, Share::SOLE, &[]), Ok(ip(1)));
+    pool.succeeded(ip(2));
+    assert_eq!(pool.open(START, Share::SOLE, &[]), Ok(ip(2)));
+}
+
 #[test]
 fn budget_refills() {
     let mut budget = Budget::new(START, 2.0, 1.0);
--- a/crates/flow/src/home.rs
+++ b/crates/flow/src/home.rs
@@ -305,10 +305,14 @@
                 Protocol::Udp => State::Established,
             };
             self.settle(now, packet.key, ip, state);
+            if let Some(pool) = self.pools.get_mut(&packet.key.address()) {
+                pool.succeeded(ip);
+            }
             self.counters.add(Count::ByHome);
             return Verdict::Forward(Target::Caller);
         }
         if flags.rst && ip == flow.upstream {
+            self.note_failure(now, &packet.key, ip);
             return self.refused_by_upstream(now, packet, out);
         }
         if flags.rst || packet.view.protocol() == Protocol::Udp {
@@ -446,10 +450,28 @@
             self.drop_opening(&key);
         }
         for key in late {
+            self.note_silence(now, &key);
             self.try_elsewhere(now, key, out);
         }
     }
 
+    /// Notes once for each wait that the upstream tried last has not answered.
+    fn note_silence(&mut self, now: Timestamp, key: &Key) {
+        let Some(opening) = self.openings.get_mut(key) else {
+            return;
+        };
+        opening.sent = now;
+        if let Some(silent) = opening.upstream() {
+            self.note_failure(now, key, silent);
+        }
+    }
+
+    fn note_failure(&mut self, now: Timestamp, key: &Key, upstream: Ipv4Addr) {
+        if let Some(pool) = self.pools.get_mut(&key.address()) {
+            pool.failed(now, upstream);
+        }
+    }
+
     /// Sends an opening to an upstream that has not seen it yet, within the retry budget.
     fn try_elsewhere(&mut self, now: Timestamp, key: Key, out: &mut Vec<Action>) -> bool {
         let Some(opening) = self.openings.get_mut(&key) else {
--- a/crates/flow/tests/opening.rs
+++ b/crates/flow/tests/opening.rs
@@ -2,14 +2,15 @@
 
 mod support;
 
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use flow::{Count, Origin};
-use packet::Protocol;
+use flow::{Action, Count, Engine, Origin, Target};
+use packet::{Protocol, View};
+use stdx::time::Timestamp;
 use support::{NOW, SERVICE};
 
-fn after(millis: u64) -> stdx::time::Timestamp {
+fn after(millis: u64) -> Timestamp {
     NOW + Duration::from_millis(millis)
 }
 
@@ -77,7 +78,7 @@
     cfg.max_flows = 10_000;
     let mut engine = support::engine_with(cfg, support::service(Protocol::Tcp));
     for n in 0..1_000_u16 {
-        let caller = std::net::SocketAddrV4::new(Ipv4Addr::new(10, 4, 0, 1), 1_000 + n);
+        let caller = SocketAddrV4::new(Ipv4Addr::new(10, 4, 0, 1), 1_000 + n);
         let tcp = support::Tcp { syn: true, seq: 1, ..Default::default() };
         support::give(&mut engine, NOW, Origin::Caller, &support::segment(caller, SERVICE, tcp));
     }
@@ -95,7 +96,7 @@
     let mut engine = support::engine_with(support::settings(), service);
     let mut refused = 0;
     for n in 0..9_u16 {
-        let caller = std::net::SocketAddrV4::new(Ipv4Addr::new(10, 4, 0, 1), 1_000 + n);
+        let caller = SocketAddrV4::new(Ipv4Addr::new(10, 4, 0, 1), 1_000 + n);
         let tcp = support::Tcp { syn: true, seq: 1, ..Default::default() };
         let opening = support::segment(caller, SERVICE, tcp);
         let out = support::give(&mut engine, NOW, Origin::Caller, &opening);
@@ -115,3 +116,41 @@
     let again = support::give(&mut engine, after(5_000), Origin::Caller, &order);
     assert_eq!(support::upstreams(&again), first);
 }
+
+/// A silent upstream fails once for each wait, not once for each tick, and is then avoided.
+#[test]
+fn silent_upstream_avoided() {
+    let mut service = support::service(Protocol::Tcp);
+    service.upstreams.truncate(2);
+    let mut engine = support::engine_with(support::settings(), service);
+    let mut to_silent = 0;
+    for n in 0..40 {
+        let now = after(u64::from(n) * 100);
+        for action in support::tick(&mut engine, now) {
+            let Action::Emit { bytes, to: Target::Upstream { ip: support::U2, .. } } = action
+            else {
+                continue;
+            };
+            accept(&mut engine, now, &bytes);
+        }
+        let caller = SocketAddrV4::new(Ipv4Addr::new(10, 4, 0, 1), 1_000 + n);
+        let tcp = support::Tcp { syn: true, seq: 1, ..Default::default() };
+        let opening = support::segment(caller, SERVICE, tcp);
+        let out = support::give(&mut engine, now, Origin::Caller, &opening);
+        if support::upstreams(&out) == [support::U1] {
+            to_silent += 1;
+        } else {
+            accept(&mut engine, now, &opening);
+        }
+    }
+    assert!((1..=10).contains(&to_silent), "{to_silent} of 40 went to the silent upstream");
+}
+
+/// U2 accepts an opening.
+fn accept(engine: &mut Engine, now: Timestamp, opening: &[u8]) {
+    let view = View::parse(opening).expect("a whole packet");
+    let tcp = support::Tcp { syn: true, ack: Some(2), seq: 9, ..Default::default() };
+    let answer = support::segment(SERVICE, view.src, tcp);
+    let out = support::give(engine, now, Origin::Upstream(support::U2), &answer);
+    assert!(support::passes_to_caller(&out));
+}
--- a/xtask/src/measure/zone.rs
+++ b/xtask/src/measure/zone.rs
@@ -18,6 +18,7 @@
 pub fn run(report: &mut Report) {
     cold(report);
     zone(report);
+    dead_upstream(report);
 }
 
 /// Upstreams that start cold under full load, while entries join and die.
@@ -92,6 +93,24 @@
     report.line("zone.cycle.given_up", given_up(&world), "flows", Bound::None);
 }
 
+/// An upstream stops answering without warning.
+fn dead_upstream(report: &mut Report) {
+    let mut world = World::new(Config::default());
+    let plans = short(&world, 20_000, Duration::from_secs(20), 1, 10);
+    world.add_callers(plans);
+    world.run_for(Duration::from_secs(5));
+    if let Some((_, upstream)) = world.upstreams.get_index_mut(0) {
+        upstream.behaviour.up = false;
+    }
+    let before = world.count(flow::Count::OpeningRetried);
+    world.run_for(Duration::from_secs(10));
+    let retried = world.count(flow::Count::OpeningRetried) - before;
+    report.line("dead_upstream.openings_delayed", retried as f64, "flows", Bound::None);
+    world.run_for(Duration::from_secs(20));
+    let unanswered = world.seen.unanswered as f64;
+    report.line("dead_upstream.unanswered", unanswered, "flows", Bound::AtMost(0.0));
+}
+
 fn given_up(world: &World) -> f64 {
     world.count(flow::Count::GivenUp) as f64
 }
