--- a/crates/flow/src/engine.rs
+++ b/crates/flow/src/engine.rs
@@ -14,9 +14,10 @@
 
 use crate::action::{Action, Message, Origin, Relay, Target};
 use crate::count::{Count, Counters};
-use crate::home::{HomeFlow, Opening};
+use crate::home::HomeFlow;
 use crate::homes::{Homes, Id};
 use crate::key::{HashKey, Key, Slot};
+use crate::opening::Opening;
 use crate::recovery::Pending;
 use crate::service::{Address, Service, Services, Stage};
 use crate::table::Table;
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -9,6 +9,7 @@
 mod home;
 pub mod homes;
 pub mod key;
+mod opening;
 mod recovery;
 pub mod service;
 pub mod table;
--- a/crates/flow/src/recovery.rs
+++ b/crates/flow/src/recovery.rs
@@ -14,9 +14,10 @@
 use crate::action::{Action, Message, Target};
 use crate::count::Count;
 use crate::engine::{Engine, Packet, Side, Verdict};
-use crate::home::{Opening, State};
+use crate::home::State;
 use crate::homes::Id;
 use crate::key::Key;
+use crate::opening::Opening;
 use crate::service::Stage;
 
 /// Entries asked about a flow.
