--- /dev/null
+++ b/crates/fakes/src/course.rs
@@ -0,0 +1,382 @@
+//! What happens in a world: events and the links that they pass.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use flow::{Action, Id, Key, Message, Origin, Services, Target};
+use membership::Heartbeat;
+use packet::{Protocol, View};
+use stdx::time::Timestamp;
+
+use crate::caller::Phase;
+use crate::entry::Life;
+use crate::world::{CALLER_PORT, World, caller_index, caller_ip};
+
+/// One-way delays.
+const CALLER_DELAY: Duration = Duration::from_millis(3);
+const INNER_DELAY: Duration = Duration::from_micros(500);
+
+/// Times between an entry's own activities.
+const ENGINE_TICK: Duration = Duration::from_millis(5);
+const VIEW_TICK: Duration = Duration::from_millis(50);
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(250);
+
+/// Time between the fabric's health checks.
+const HEALTH_EVERY: Duration = Duration::from_millis(100);
+
+/// Source ports of an entry towards upstreams.
+const SOURCE_PORTS: u8 = 8;
+
+/// Something that happens at a time.
+pub(crate) enum Event {
+    Packet { entry: usize, lives: u32, origin: Origin, bytes: Box<[u8]> },
+    Message { entry: usize, from: Id, message: Message },
+    Heartbeat { entry: usize, heartbeat: Heartbeat },
+    ToUpstream { ip: Ipv4Addr, bytes: Box<[u8]> },
+    ToCaller { bytes: Box<[u8]> },
+    EngineTick { entry: usize, lives: u32 },
+    ViewTick { entry: usize, lives: u32 },
+    SendHeartbeats { entry: usize, lives: u32 },
+    Services { entry: usize, lives: u32, services: Services },
+    Stop { entry: usize, lives: u32 },
+    Start { entry: usize },
+    Health,
+    Caller { index: usize },
+    Connection { ip: Ipv4Addr, key: Key },
+    Jobs { ip: Ipv4Addr },
+}
+
+impl World {
+    pub(crate) fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Packet { entry, lives, origin, bytes } => {
+                self.on_packet(entry, lives, origin, bytes);
+            }
+            Event::Message { entry, from, message } => {
+                let again = || Event::Message { entry, from, message };
+                if !self.can_work(entry, again) {
+                    return;
+                }
+                let mut out = Vec::new();
+                self.entries[entry].engine.on_message(now, from, message, &mut out);
+                self.carry_out(entry, out, &[]);
+            }
+            Event::Heartbeat { entry, heartbeat } => {
+                if self.can_work(entry, || Event::Heartbeat { entry, heartbeat }) {
+                    self.entries[entry].on_heartbeat(now, heartbeat);
+                }
+            }
+            Event::ToUpstream { ip, bytes } => self.on_upstream_packet(ip, &bytes),
+            Event::ToCaller { bytes } => self.on_caller_packet(&bytes),
+            Event::EngineTick { entry, lives } => self.engine_tick(entry, lives),
+            Event::ViewTick { entry, lives } => {
+                if self.lives(entry, lives) {
+                    self.push(now + VIEW_TICK, Event::ViewTick { entry, lives });
+                    if self.entries[entry].is_up(now) {
+                        self.entries[entry].tick_view(now);
+                    }
+                }
+            }
+            Event::SendHeartbeats { entry, lives } => self.send_heartbeats(entry, lives),
+            Event::Services { entry, lives, services } => {
+                if self.lives(entry, lives) {
+                    self.entries[entry].set_services(now, services);
+                }
+            }
+            Event::Stop { entry, lives } => {
+                if self.lives(entry, lives) {
+                    self.entries[entry].life = Life::Gone;
+                }
+            }
+            Event::Start { entry } => self.start_again(entry),
+            Event::Health => {
+                let ready = |index: &usize| self.entries[*index].is_ready(now);
+                self.healthy = (0..self.entries.len()).filter(ready).collect();
+                self.push(now + HEALTH_EVERY, Event::Health);
+            }
+            Event::Caller { index } => {
+                if self.caller_wake.get(&index) == Some(&now) {
+                    self.caller_wake.swap_remove(&index);
+                    self.step_caller(index);
+                }
+            }
+            Event::Connection { ip, key } => self.step_connection(ip, key),
+            Event::Jobs { ip } => self.finish_jobs(ip),
+        }
+    }
+
+    fn on_packet(&mut self, entry: usize, lives: u32, origin: Origin, bytes: Box<[u8]>) {
+        if !self.lives(entry, lives) {
+            return;
+        }
+        let wake = self.entries[entry].frozen_until;
+        if wake > self.now {
+            self.push(wake, Event::Packet { entry, lives, origin, bytes });
+            return;
+        }
+        let Ok(view) = View::parse(&bytes) else {
+            return;
+        };
+        let mut out = Vec::new();
+        self.entries[entry].engine.on_packet(self.now, origin, &view, &mut out);
+        self.carry_out(entry, out, &bytes);
+    }
+
+    /// Whether an entry can take an event now; a frozen one takes it when it wakes.
+    fn can_work(&mut self, entry: usize, again: impl FnOnce() -> Event) -> bool {
+        if self.entries[entry].life == Life::Gone {
+            return false;
+        }
+        let wake = self.entries[entry].frozen_until;
+        if wake > self.now {
+            self.push(wake, again());
+            return false;
+        }
+        true
+    }
+
+    fn engine_tick(&mut self, entry: usize, lives: u32) {
+        if !self.lives(entry, lives) {
+            return;
+        }
+        self.push(self.now + ENGINE_TICK, Event::EngineTick { entry, lives });
+        if !self.entries[entry].is_up(self.now) {
+            return;
+        }
+        let mut out = Vec::new();
+        self.entries[entry].engine.on_tick(self.now, &mut out);
+        self.carry_out(entry, out, &[]);
+    }
+
+    fn send_heartbeats(&mut self, entry: usize, lives: u32) {
+        if !self.lives(entry, lives) {
+            return;
+        }
+        self.push(self.now + HEARTBEAT_EVERY, Event::SendHeartbeats { entry, lives });
+        if !self.entries[entry].is_up(self.now) {
+            return;
+        }
+        let heartbeat = self.entries[entry].heartbeat();
+        let own = self.entries[entry].id;
+        for other in 0..self.entries.len() {
+            let cut = self.links.cuts_entries(own, self.entries[other].id);
+            if other != entry && !cut {
+                let at = self.now + INNER_DELAY;
+                self.push(at, Event::Heartbeat { entry: other, heartbeat });
+            }
+        }
+    }
+
+    fn carry_out(&mut self, entry: usize, actions: Vec<Action>, packet: &[u8]) {
+        for action in actions {
+            self.print_traced(entry, &action, packet);
+            match action {
+                Action::Forward(to) => self.send(entry, packet, to),
+                Action::Emit { bytes, to } => self.send(entry, &bytes, to),
+                Action::Tell { to, message } => {
+                    let from = self.entries[entry].id;
+                    if let Some(other) = self.reach(from, to) {
+                        self.deliver(INNER_DELAY, || Event::Message {
+                            entry: other,
+                            from,
+                            message,
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    fn print_traced(&self, entry: usize, action: &Action, packet: &[u8]) {
+        let Some(traced) = self.traced else {
+            return;
+        };
+        let (bytes, to) = match action {
+            Action::Forward(to) => (packet, to),
+            Action::Emit { bytes, to } => (&bytes[..], to),
+            Action::Tell { to, message } => {
+                if format!("{message:?}").contains(&format!("{traced},")) {
+                    eprintln!("{} entry {entry} tells {to:?} {message:?}", self.now.as_micros());
+                }
+                return;
+            }
+        };
+        let Ok(view) = View::parse(bytes) else {
+            return;
+        };
+        if *view.src.ip() == traced || *view.dst.ip() == traced {
+            let now = self.now.as_micros();
+            eprintln!("{now} entry {entry} to {to:?}: {} {:?}", view.src, view.transport);
+        }
+    }
+
+    fn send(&mut self, entry: usize, bytes: &[u8], to: Target) {
+        let own = self.entries[entry].id;
+        match to {
+            Target::Caller => {
+                self.deliver(CALLER_DELAY, || Event::ToCaller { bytes: bytes.into() });
+            }
+            Target::Upstream { ip, path } => {
+                if !self.links.cuts_upstream(own, ip, path % SOURCE_PORTS) {
+                    self.deliver(INNER_DELAY, || Event::ToUpstream { ip, bytes: bytes.into() });
+                }
+            }
+            Target::Peer { to, upstream, hops } => {
+                let Some(other) = self.reach(own, to) else {
+                    return;
+                };
+                let origin = Origin::Peer(flow::action::Relay { from: own, upstream, hops });
+                let lives = self.entries[other].lives;
+                self.deliver(INNER_DELAY, || Event::Packet {
+                    entry: other,
+                    lives,
+                    origin,
+                    bytes: bytes.into(),
+                });
+            }
+        }
+    }
+
+    fn reach(&self, from: Id, to: Id) -> Option<usize> {
+        if self.links.cuts_entries(from, to) {
+            return None;
+        }
+        self.entries.iter().position(|entry| entry.id == to)
+    }
+
+    /// Puts an event on a link that may lose, repeat or delay it.
+    fn deliver(&mut self, delay: Duration, event: impl Fn() -> Event) {
+        if self.rng.f64() < self.links.loss {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.f64() < self.links.duplication);
+        for _ in 0..copies {
+            let late = self.rng.f64() < self.links.reordering;
+            let factor = if late { 1.0 + 9.0 * self.rng.f64() } else { 1.0 };
+            self.push(self.now + delay.mul_f64(factor), event());
+        }
+    }
+
+    /// Hands packets of a caller or an upstream to random entries.
+    fn spray(&mut self, delay: Duration, origin: Origin, packets: Vec<Vec<u8>>) {
+        for packet in packets {
+            if self.healthy.is_empty() {
+                return;
+            }
+            let entry = self.healthy[self.rng.usize(..self.healthy.len())];
+            let lives = self.entries[entry].lives;
+            let bytes: Box<[u8]> = packet.into();
+            self.deliver(delay, || Event::Packet { entry, lives, origin, bytes: bytes.clone() });
+        }
+    }
+
+    fn on_upstream_packet(&mut self, ip: Ipv4Addr, bytes: &[u8]) {
+        let Some(upstream) = self.upstreams.get_mut(&ip) else {
+            return;
+        };
+        let packets = upstream.receive(self.now, bytes, &mut self.seen);
+        let open = upstream.open_since_cold() as f64;
+        let cap = f64::from(self.cfg.limits.flows_at(self.now, upstream.cold_since));
+        self.seen.peak_over_cap = self.seen.peak_over_cap.max(open / cap);
+        self.spray(INNER_DELAY, Origin::Upstream(ip), packets);
+        if let Ok(view) = View::parse(bytes) {
+            self.wake_connection(ip, Key::of_request(&view));
+        }
+        self.start_jobs(ip);
+    }
+
+    fn step_connection(&mut self, ip: Ipv4Addr, key: Key) {
+        let Some(upstream) = self.upstreams.get_mut(&ip).filter(|u| u.behaviour.up) else {
+            return;
+        };
+        let packets = upstream.step(self.now, key, &mut self.seen);
+        self.spray(INNER_DELAY, Origin::Upstream(ip), packets);
+        self.wake_connection(ip, key);
+    }
+
+    fn wake_connection(&mut self, ip: Ipv4Addr, key: Key) {
+        let at = self.upstreams.get_mut(&ip).and_then(|u| u.next_at(self.now, &key));
+        if let Some(at) = at {
+            self.push(at, Event::Connection { ip, key });
+        }
+    }
+
+    fn start_jobs(&mut self, ip: Ipv4Addr) {
+        let upstream = self.upstreams.get_mut(&ip);
+        let done = upstream.and_then(|u| u.start_jobs(self.now, &mut self.seen));
+        if let Some(done) = done {
+            self.push(done, Event::Jobs { ip });
+        }
+    }
+
+    fn finish_jobs(&mut self, ip: Ipv4Addr) {
+        let Some(upstream) = self.upstreams.get_mut(&ip) else {
+            return;
+        };
+        for key in upstream.finish_jobs(self.now) {
+            self.step_connection(ip, key);
+        }
+        self.start_jobs(ip);
+    }
+
+    fn on_caller_packet(&mut self, bytes: &[u8]) {
+        let Ok(view) = View::parse(bytes) else {
+            return;
+        };
+        let index = caller_index(*view.dst.ip());
+        if let Some(caller) = self.callers.get_mut(index) {
+            caller.receive(bytes);
+            self.step_caller(index);
+        }
+    }
+
+    fn step_caller(&mut self, index: usize) {
+        let was = self.callers[index].phase;
+        let (packets, next) = self.callers[index].step(self.now, &mut self.seen);
+        self.attribute_broken(index);
+        if was == Phase::Opening && self.callers[index].phase == Phase::Over {
+            self.check_refusal(index);
+        }
+        self.spray(CALLER_DELAY, Origin::Caller, packets);
+        if let Some(next) = next {
+            self.wake_caller(index, next);
+        }
+    }
+
+    /// A flow that broke before its first answer is counted at the upstream that holds it.
+    fn attribute_broken(&mut self, index: usize) {
+        let Some(count) = self.seen.broken.swap_remove(&Ipv4Addr::UNSPECIFIED) else {
+            return;
+        };
+        let caller = SocketAddrV4::new(caller_ip(index), CALLER_PORT);
+        let key = Key::new(Protocol::Tcp, caller, self.service.address.socket);
+        let holder = self.upstreams.values().find(|upstream| upstream.holds(&key));
+        let holder = holder.map_or(Ipv4Addr::BROADCAST, |upstream| upstream.ip);
+        *self.seen.broken.entry(holder).or_default() += count;
+    }
+
+    /// A refused flow must not have run anything; nothing was sent, so nothing can have.
+    fn check_refusal(&mut self, index: usize) {
+        if self.callers[index].upstream.is_some() {
+            self.seen.false_refusals += 1;
+        }
+    }
+
+    pub(crate) fn wake_caller(&mut self, index: usize, at: Timestamp) {
+        if self.caller_wake.get(&index).is_some_and(|earlier| *earlier <= at && *earlier > self.now)
+        {
+            return;
+        }
+        self.caller_wake.insert(index, at);
+        self.push(at, Event::Caller { index });
+    }
+
+    fn start_again(&mut self, entry: usize) {
+        let lives = self.entries[entry].lives + 1;
+        self.gone_counters.push(self.entries[entry].engine.counters().clone());
+        self.entries[entry] = self.new_entry(entry);
+        self.entries[entry].lives = lives;
+        self.schedule_entry(entry);
+    }
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,6 +4,7 @@
 //! repeat and cut; entries die, freeze and leave; what the promises say is checked while it runs.
 
 pub mod caller;
+mod course;
 pub mod entry;
 pub mod faults;
 pub mod seen;
