--- a/crates/ibis-entry/src/control/actor.rs
+++ b/crates/ibis-entry/src/control/actor.rs
@@ -28,6 +28,9 @@
 /// Time between heartbeats.
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(250);
 
+/// Heartbeats of which one carries what is known of cold upstreams.
+const COLD_STARTS_EVERY: u64 = 4;
+
 /// Shortest time between two requests for a peer's documents.
 const WANTED_EVERY: Duration = Duration::from_millis(500);
 
@@ -167,6 +170,11 @@
         self.last_heartbeat = now;
         self.sequence += 1;
         let stamp = self.ring().stamp(now);
+        let cold_starts = if self.sequence.is_multiple_of(COLD_STARTS_EVERY) {
+            self.cold_starts.iter().map(cold_start_out).collect()
+        } else {
+            Vec::new()
+        };
         let heartbeat = Control::Heartbeat(v1::Heartbeat {
             id: self.own.to_bits(),
             zone: self.zone.clone(),
@@ -177,7 +185,7 @@
             clock_micros: stamp.micros,
             clock_counter: stamp.counter,
             documents: self.documents.fingerprint(),
-            cold_starts: self.cold_starts.iter().map(cold_start_out).collect(),
+            cold_starts,
         });
         self.links.send_all(&peer_proto::encode_control(heartbeat));
     }
