Rename crate platform to kv

The folder platform/ is to hold the adapter for the users' platform; the client of the etcd-style service keeps its code and tests under the name of what it is.

--- a/crates/ibis-entry/src/control/run.rs
+++ b/crates/ibis-entry/src/control/run.rs
@@ -37,7 +37,7 @@
     Tls(tls::Error),
     /// The platform's address can't be used.
     #[display("{_0}")]
-    Platform(platform::Error),
+    Platform(kv::Error),
     /// The metrics can't be recorded.
     #[display("metrics: {_0}")]
     Metrics(metrics_exporter_prometheus::BuildError),
@@ -68,7 +68,7 @@
     let actor = ControlState::spawn(state);
     tokio::spawn(tick(actor.clone()));
     tokio::spawn(peers::accept(cfg.peers.clone(), endpoint.clone(), actor.clone()));
-    tokio::spawn(platform_watch::run(platform::Client::new(&cfg.platform)?, actor.clone()));
+    tokio::spawn(platform_watch::run(kv::Client::new(&cfg.platform)?, actor.clone()));
     let commands = traffic.commands.clone();
     let (reports, thread) = split(traffic);
     tokio::spawn(forward_reports(reports, actor.clone()));
--- a/crates/ibis-entry/src/platform_watch.rs
+++ b/crates/ibis-entry/src/platform_watch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kameo::actor::ActorRef;
-use platform::{Client, Error, Event, KeyValue, keys};
+use kv::{Client, Error, Event, KeyValue, keys};
 use tokio::time;
 
 use crate::control::actor::ControlState;
--- a/crates/ibis-entry/src/settings.rs
+++ b/crates/ibis-entry/src/settings.rs
@@ -301,7 +301,7 @@
         if self.peer_port == self.control_port {
             reader.problem(CONTROL_PORT.flag, "the same as --peer-port");
         }
-        if platform::Client::check_address(&self.platform).is_err() {
+        if kv::Client::check_address(&self.platform).is_err() {
             reader.problem(PLATFORM.flag, format!("\"{}\" is not a URL", self.platform));
         }
         let files = [(CA, &self.ca), (CERT, &self.cert), (KEY, &self.key)];
--- a/crates/ibisctl/src/commands.rs
+++ b/crates/ibisctl/src/commands.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 
 use config::Document;
-use platform::{Client, keys};
+use kv::{Client, keys};
 
 use crate::error::Error;
 
--- a/crates/ibisctl/src/error.rs
+++ b/crates/ibisctl/src/error.rs
@@ -33,11 +33,11 @@
     LostRace(#[error(not(source))] String),
     /// The platform's service did not do what was asked.
     #[display("{_0}")]
-    Platform(platform::Error),
+    Platform(kv::Error),
 }
 
-impl From<platform::Error> for Error {
-    fn from(e: platform::Error) -> Self {
+impl From<kv::Error> for Error {
+    fn from(e: kv::Error) -> Self {
         Self::Platform(e)
     }
 }
--- a/crates/ibisctl/src/main.rs
+++ b/crates/ibisctl/src/main.rs
@@ -53,9 +53,9 @@
     reader.finish().map_err(|e| Error::Usage(e.to_string()))?;
     match (command.as_str(), word) {
         ("check", Some(file)) => commands::check(&file),
-        ("put", Some(file)) => commands::put(&platform::Client::new(&platform)?, &file).await,
-        ("get", Some(service)) => commands::get(&platform::Client::new(&platform)?, &service).await,
-        ("list", None) => commands::list(&platform::Client::new(&platform)?).await,
+        ("put", Some(file)) => commands::put(&kv::Client::new(&platform)?, &file).await,
+        ("get", Some(service)) => commands::get(&kv::Client::new(&platform)?, &service).await,
+        ("list", None) => commands::list(&kv::Client::new(&platform)?).await,
         _ => Err(Error::Usage(HELP.to_owned())),
     }
 }
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -4,11 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use platform::generated::etcdserverpb::kv_server::{Kv, KvServer};
-use platform::generated::etcdserverpb::lease_server::{Lease, LeaseServer};
-use platform::generated::etcdserverpb::watch_server::{Watch, WatchServer};
-use platform::generated::etcdserverpb::{self as rpc, request_op, watch_request};
-use platform::generated::mvccpb;
+use kv::generated::etcdserverpb::kv_server::{Kv, KvServer};
+use kv::generated::etcdserverpb::lease_server::{Lease, LeaseServer};
+use kv::generated::etcdserverpb::watch_server::{Watch, WatchServer};
+use kv::generated::etcdserverpb::{self as rpc, request_op, watch_request};
+use kv::generated::mvccpb;
 use stdx::time::Clock;
 use tokio::sync::{broadcast, mpsc};
 use tokio_stream::StreamExt;
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use indexmap::IndexMap;
-use platform::generated::etcdserverpb::{self as rpc, compare, request_op, response_op};
-use platform::generated::mvccpb;
+use kv::generated::etcdserverpb::{self as rpc, compare, request_op, response_op};
+use kv::generated::mvccpb;
 use stdx::time::Timestamp;
 
 /// Largest value in bytes.
--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -9,7 +9,7 @@
 pub fn run() -> Result<()> {
     let root = repo::root();
     generate(&root.join("crates/peer-proto"), &["peer.proto"])?;
-    generate(&root.join("crates/platform"), &["rpc.proto"])
+    generate(&root.join("crates/kv"), &["rpc.proto"])
 }
 
 fn generate(package: &Path, files: &[&str]) -> Result<()> {
