--- /dev/null
+++ b/crates/directory/src/believed.rs
@@ -0,0 +1,379 @@
+//! The facts that are believed, and the table that follows from them.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use stdx::time::Timestamp;
+use steer::table::{Service, ServiceId, Target};
+use steer::{Route, Table, Upstream, UpstreamId, ZoneId};
+
+use crate::fact::{Config, Fact, Member, Record, ServiceSpec, Subject, UpstreamSpec};
+
+stdx::value! {
+    /// Times that decide how far facts are trusted.
+    pub struct Settings {
+        /// Time after the store's return in which upstreams that live are listed again.
+        pub relist: Duration,
+        /// Time that a gone upstream is remembered for the flows it may still have.
+        pub remember: Duration,
+        /// Time that a gone entry still counts as opening flows.
+        pub member_hold: Duration,
+        /// The part of the cold limit above the rate: new flows in any second.
+        pub cold_burst: u32,
+        /// The factor on the cold rate, in thousandths.
+        pub cold_over_milli: u32,
+    }
+
+    /// A change of belief that the log tells.
+    #[derive(Default)]
+    pub struct Shift {
+        /// Version of the configuration before.
+        pub version_before: u64,
+        /// Version of the configuration now.
+        pub version: u64,
+        /// Upstreams that may take new flows, before.
+        pub eligible_before: usize,
+        /// Upstreams that may take new flows, now.
+        pub eligible: usize,
+        /// Zones out of service.
+        pub zones_out: usize,
+        /// Entries counted.
+        pub entries: u32,
+    }
+}
+
+/// Everything that one entry believes.
+#[derive(Debug, Clone)]
+pub struct Directory {
+    cfg: Settings,
+    config: Option<Config>,
+    ever: IndexMap<SocketAddrV4, Vec<String>>,
+    upstreams: IndexMap<UpstreamId, Held>,
+    zones_out: IndexMap<String, u64>,
+    /// When zones were taken back into service.
+    zones_back: IndexMap<String, Timestamp>,
+    members: IndexMap<String, HeldMember>,
+    /// Since when the store can't be trusted to list every upstream that lives; the end is open
+    /// while it is away.
+    doubt: Doubt,
+    last: Shift,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Doubt {
+    None,
+    Away,
+    Until(Timestamp),
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    spec: UpstreamSpec,
+    revision: u64,
+    created: u64,
+    cold_until: Timestamp,
+    gone: Option<Gone>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Gone {
+    since: Timestamp,
+    /// Whether it had said that it would stop, and the store was there all the while.
+    ended: bool,
+    /// Whether it may only be missing because the store was away.
+    doubted: bool,
+}
+
+#[derive(Debug, Clone)]
+struct HeldMember {
+    member: Member,
+    gone: Option<Timestamp>,
+}
+
+impl Directory {
+    /// Believes nothing yet.
+    pub fn new(cfg: Settings) -> Self {
+        Self {
+            cfg,
+            config: None,
+            ever: IndexMap::new(),
+            upstreams: IndexMap::new(),
+            zones_out: IndexMap::new(),
+            zones_back: IndexMap::new(),
+            members: IndexMap::new(),
+            doubt: Doubt::None,
+            last: Shift::default(),
+        }
+    }
+
+    /// Takes everything that the store holds. What is not among it is gone.
+    pub fn load(&mut self, now: Timestamp, records: Vec<Record>) {
+        if self.doubt == Doubt::Away {
+            self.doubt = Doubt::Until(now + self.cfg.relist);
+        }
+        let listed: IndexSet<Subject> =
+            records.iter().filter(|r| r.fact.is_some()).map(|r| r.subject.clone()).collect();
+        for record in records {
+            self.apply(now, record);
+        }
+        let missing: Vec<UpstreamId> = self
+            .upstreams
+            .keys()
+            .filter(|id| !listed.contains(&Subject::Upstream(**id)))
+            .copied()
+            .collect();
+        for id in missing {
+            self.upstream_gone(now, id);
+        }
+        let back: Vec<String> = self
+            .zones_out
+            .keys()
+            .filter(|zone| !listed.contains(&Subject::ZoneOut((*zone).clone())))
+            .cloned()
+            .collect();
+        for zone in back {
+            self.zone_back(now, &zone);
+        }
+        for (name, held) in &mut self.members {
+            if !listed.contains(&Subject::Member(name.clone())) {
+                held.gone.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Takes one change. One that is older than what is known changes nothing.
+    pub fn apply(&mut self, now: Timestamp, record: Record) {
+        match (record.subject, record.fact) {
+            (Subject::Config, Some(Fact::Config(config))) => self.set_config(config),
+            (Subject::Upstream(id), Some(Fact::Upstream(spec))) => {
+                self.set_upstream(now, id, spec, record.revision, record.created);
+            }
+            (Subject::Upstream(id), _) => {
+                let newer = |held: &Held| held.revision < record.revision;
+                if self.upstreams.get(&id).is_some_and(newer) {
+                    self.upstream_gone(now, id);
+                }
+            }
+            (Subject::ZoneOut(zone), Some(_)) => {
+                let known = self.zones_out.entry(zone).or_default();
+                *known = record.revision.max(*known);
+            }
+            (Subject::ZoneOut(zone), None) => {
+                if self.zones_out.get(&zone).is_some_and(|known| *known < record.revision) {
+                    self.zone_back(now, &zone);
+                }
+            }
+            (Subject::Member(name), Some(Fact::Member(member))) => {
+                self.members.insert(name, HeldMember { member, gone: None });
+            }
+            (Subject::Member(name), _) => {
+                if let Some(held) = self.members.get_mut(&name) {
+                    held.gone.get_or_insert(now);
+                }
+            }
+            // A configuration is never taken away; one that can't be read leaves the last one.
+            (Subject::Config, _) => {}
+        }
+    }
+
+    /// Notes that the store does not answer.
+    pub fn store_lost(&mut self) {
+        self.doubt = Doubt::Away;
+    }
+
+    /// Whether flows can be opened: the configuration is known and some upstream.
+    pub fn is_synced(&self) -> bool {
+        self.config.is_some() && !self.upstreams.is_empty()
+    }
+
+    /// The other entries and this one, as far as they are listed.
+    pub fn members(&self) -> impl Iterator<Item = (&str, &Member)> {
+        self.members
+            .iter()
+            .filter(|(_, held)| held.gone.is_none())
+            .map(|(name, held)| (name.as_str(), &held.member))
+    }
+
+    /// When the table changes by time alone, if it does.
+    pub fn next_change(&self) -> Option<Timestamp> {
+        match self.doubt {
+            Doubt::Until(end) => Some(end),
+            Doubt::None | Doubt::Away => None,
+        }
+    }
+
+    /// The table that follows, and what changed since the last one.
+    pub fn table(&mut self, now: Timestamp, own_name: &str) -> (Table, Shift) {
+        self.forget(now);
+        let mut table = Table { synced: self.is_synced(), ..Table::default() };
+        let mut service_ids: IndexMap<String, ServiceId> = IndexMap::new();
+        if let Some(config) = &self.config {
+            table.version = config.version;
+            for spec in &config.services {
+                service_id(&mut service_ids, &mut table, &spec.name, Some(spec), &self.cfg);
+            }
+        }
+        for (addr, names) in &self.ever {
+            let ever: Vec<ServiceId> = names
+                .iter()
+                .map(|name| service_id(&mut service_ids, &mut table, name, None, &self.cfg))
+                .collect();
+            let spec = self.config.iter().flat_map(|c| &c.routes).find(|route| route.addr == *addr);
+            let Some(spec) = spec else {
+                table.dropped.insert(*addr);
+                continue;
+            };
+            let targets = spec
+                .targets
+                .iter()
+                .map(|(name, weight)| Target {
+                    service: service_id(&mut service_ids, &mut table, name, None, &self.cfg),
+                    weight: *weight,
+                })
+                .collect();
+            table.routes.insert(*addr, Route { targets, ever });
+        }
+        self.upstreams.sort_unstable_by(|a, x, b, y| (x.created, a).cmp(&(y.created, b)));
+        for (id, held) in &self.upstreams {
+            let upstream = self.upstream(now, *id, held, &mut service_ids, &mut table);
+            table.upstreams.insert(*id, upstream);
+        }
+        table.entries = self.entries(now, own_name);
+        let shift = Shift {
+            version_before: self.last.version,
+            version: table.version,
+            eligible_before: self.last.eligible,
+            eligible: table.upstreams.values().filter(|upstream| upstream.takes_new).count(),
+            zones_out: self.zones_out.len(),
+            entries: table.entries,
+        };
+        self.last = shift;
+        (table, shift)
+    }
+
+    fn upstream(
+        &self,
+        now: Timestamp,
+        id: UpstreamId,
+        held: &Held,
+        service_ids: &mut IndexMap<String, ServiceId>,
+        table: &mut Table,
+    ) -> Upstream {
+        let spec = &held.spec;
+        let zone = table.zones.iter().position(|zone| *zone == spec.zone).unwrap_or_else(|| {
+            table.zones.push(spec.zone.clone());
+            table.zones.len() - 1
+        });
+        let here = held.gone.is_none_or(|gone| gone.doubted && self.doubts(now));
+        let cold = self.config.iter().flat_map(|c| &c.services).find(|s| s.name == spec.service);
+        let cold_by_zone = self.zones_back.get(&spec.zone).zip(cold).map(|(at, s)| *at + s.cold);
+        Upstream {
+            id,
+            addr: spec.addr,
+            zone: ZoneId(zone as u16),
+            service: service_id(service_ids, table, &spec.service, None, &self.cfg),
+            takes_new: here && !spec.leaving && !self.zones_out.contains_key(&spec.zone),
+            cold_until: held.cold_until.max(cold_by_zone.unwrap_or_default()),
+            started_ms: spec.started_ms,
+            ended: held.gone.is_some_and(|gone| gone.ended),
+        }
+    }
+
+    fn set_config(&mut self, config: Config) {
+        if self.config.as_ref().is_some_and(|known| known.version >= config.version) {
+            return;
+        }
+        for route in &config.routes {
+            let ever = self.ever.entry(route.addr).or_default();
+            for (name, _) in &route.targets {
+                if !ever.contains(name) {
+                    ever.push(name.clone());
+                }
+            }
+        }
+        self.config = Some(config);
+    }
+
+    fn set_upstream(
+        &mut self,
+        now: Timestamp,
+        id: UpstreamId,
+        spec: UpstreamSpec,
+        revision: u64,
+        created: u64,
+    ) {
+        let known = self.upstreams.get(&id);
+        if known.is_some_and(|held| held.revision > revision) {
+            return;
+        }
+        // The same record read once more does not start the time anew that it gives.
+        let same = known.filter(|held| held.revision == revision);
+        let cold_until = same.map_or(now + spec.cold_left, |held| held.cold_until);
+        let cold_until = if spec.cold_left.is_zero() { Timestamp::default() } else { cold_until };
+        self.upstreams.insert(id, Held { spec, revision, created, cold_until, gone: None });
+    }
+
+    fn upstream_gone(&mut self, now: Timestamp, id: UpstreamId) {
+        let doubted = self.doubts(now);
+        if let Some(held) = self.upstreams.get_mut(&id) {
+            let ended = held.spec.leaving && !doubted;
+            held.gone.get_or_insert(Gone { since: now, ended, doubted });
+        }
+    }
+
+    fn zone_back(&mut self, now: Timestamp, zone: &str) {
+        self.zones_out.swap_remove(zone);
+        self.zones_back.insert(zone.to_owned(), now);
+    }
+
+    fn doubts(&self, now: Timestamp) -> bool {
+        match self.doubt {
+            Doubt::None => false,
+            Doubt::Away => true,
+            Doubt::Until(end) => now < end,
+        }
+    }
+
+    fn entries(&self, now: Timestamp, own_name: &str) -> u32 {
+        let counts = |held: &HeldMember| {
+            held.gone.is_none_or(|since| now.since(since) < self.cfg.member_hold)
+        };
+        let others =
+            self.members.iter().filter(|(name, held)| *name != own_name && counts(held)).count();
+        others as u32 + 1
+    }
+
+    fn forget(&mut self, now: Timestamp) {
+        if matches!(self.doubt, Doubt::Until(end) if end <= now) {
+            self.doubt = Doubt::None;
+        }
+        let remember = self.cfg.remember;
+        let old = |since: Timestamp| now.since(since) > remember;
+        self.upstreams.retain(|_, held| !held.gone.is_some_and(|gone| old(gone.since)));
+        self.zones_back.retain(|_, at| !old(*at));
+        self.members.retain(|_, held| !held.gone.is_some_and(old));
+    }
+}
+
+/// The place of a service in the table; it is added if it is not there.
+fn service_id(
+    ids: &mut IndexMap<String, ServiceId>,
+    table: &mut Table,
+    name: &str,
+    spec: Option<&ServiceSpec>,
+    cfg: &Settings,
+) -> ServiceId {
+    if let Some(id) = ids.get(name) {
+        return *id;
+    }
+    let over = f64::from(cfg.cold_over_milli) / 1000.0;
+    table.services.push(Service {
+        name: name.to_owned(),
+        cold_opens_per_s: spec.map_or(0.0, |spec| spec.cold_opens_per_s) * over,
+        cold_burst: f64::from(cfg.cold_burst),
+    });
+    let id = ServiceId((table.services.len() - 1) as u16);
+    ids.insert(name.to_owned(), id);
+    id
+}
--- /dev/null
+++ b/crates/directory/src/follow.rs
@@ -0,0 +1,134 @@
+//! When to read the store, and how: all of it, or what has changed.
+
+use std::time::Duration;
+
+use stdx::time::Timestamp;
+
+/// Part of the tightest bound that a waiting call may last, in percent: a store that came back
+/// while the call was waiting has to be read again inside the bound.
+const WAIT_PERCENT: u32 = 60;
+
+/// Part of the tightest bound between an answer with changes and the next call, in percent.
+/// Changes come in batches, and calls cost.
+const PACE_PERCENT: u32 = 35;
+
+/// Time that the network and a slow store may add to a call, as a part of the bound in percent.
+const SLACK_PERCENT: u32 = 30;
+
+/// First wait after a call that failed.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+
+/// Doublings of that wait at most.
+const RETRY_DOUBLINGS: u32 = 3;
+
+stdx::value! {
+    /// How long calls take and how often they come.
+    pub struct Pace {
+        /// How long a call may wait for a change.
+        pub wait: Duration,
+        /// Time after which a call that has no answer is given up, beyond its wait.
+        pub slack: Duration,
+        /// Time between changes and the next call.
+        pub pace: Duration,
+    }
+
+    /// What to do next.
+    pub enum Ask {
+        /// Read everything.
+        Load,
+        /// Wait for changes after a revision.
+        Watch(u64),
+        /// Do nothing for a while.
+        Pause(Duration),
+    }
+
+    /// How a call went.
+    pub enum Answer {
+        /// Everything was read, up to a revision.
+        Loaded(u64),
+        /// Changes up to a revision; whether there were any.
+        Watched(u64, bool),
+        /// The store no longer knows the changes since the revision.
+        Forgotten,
+        /// The store, or something before it, refused.
+        Refused,
+        /// No answer in time, or the connection was lost.
+        Lost,
+    }
+}
+
+/// Where one entry is in following the store.
+#[derive(Debug, Clone)]
+pub struct Follow {
+    pace: Pace,
+    cursor: Option<u64>,
+    pause: Option<Duration>,
+    failures: u32,
+    lost_since: Option<Timestamp>,
+}
+
+impl Pace {
+    /// The pace that keeps a bound on how late a change may be in force.
+    pub fn within(bound: Duration) -> Self {
+        Self {
+            wait: bound * WAIT_PERCENT / 100,
+            slack: bound * SLACK_PERCENT / 100,
+            pace: bound * PACE_PERCENT / 100,
+        }
+    }
+}
+
+impl Follow {
+    /// Has read nothing.
+    pub fn new(pace: Pace) -> Self {
+        Self { pace, cursor: None, pause: None, failures: 0, lost_since: None }
+    }
+
+    /// What to do next.
+    pub fn next(&mut self) -> Ask {
+        if let Some(pause) = self.pause.take() {
+            return Ask::Pause(pause);
+        }
+        self.cursor.map_or(Ask::Load, Ask::Watch)
+    }
+
+    /// Takes an answer. Returns whether the store has come back with it.
+    pub fn on_answer(&mut self, now: Timestamp, answer: Answer) -> bool {
+        match answer {
+            Answer::Loaded(at) => {
+                self.failures = 0;
+                self.cursor = Some(at);
+                return self.lost_since.take().is_some();
+            }
+            Answer::Watched(at, any) => {
+                self.cursor = Some(at);
+                self.pause = any.then_some(self.pace.pace);
+            }
+            Answer::Forgotten => self.cursor = None,
+            Answer::Refused | Answer::Lost => {
+                // A watch may have been silent while the store was away, so all is read again.
+                self.cursor = None;
+                self.pause = Some(RETRY_FIRST * 2_u32.pow(self.failures.min(RETRY_DOUBLINGS)));
+                self.failures += 1;
+                self.lost_since.get_or_insert(now);
+            }
+        }
+        false
+    }
+
+    /// Notes that the process stood still, so that what it knows may be old: all is read again.
+    pub fn on_gap(&mut self) {
+        self.cursor = None;
+        self.pause = None;
+    }
+
+    /// Since when the store does not answer.
+    pub fn lost_since(&self) -> Option<Timestamp> {
+        self.lost_since
+    }
+
+    /// The pace of its calls.
+    pub fn pace(&self) -> Pace {
+        self.pace
+    }
+}
--- /dev/null
+++ b/crates/node/src/narrate.rs
@@ -0,0 +1,228 @@
+//! Turns decisions into log lines and metrics, on the control thread.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use directory::Shift;
+use metrics::{counter, gauge, histogram};
+use stdx::time::Timestamp;
+use steer::{Event, FlowKey, Table, UpstreamId, ZoneId};
+
+use crate::logs::Limit;
+use crate::traffic::Counts;
+
+/// Lines a second for openings and answers: they are samples, metrics count all.
+const SUCCESSES_PER_S: u32 = 10;
+
+/// Lines a second for refusals, resets, retries and changes of belief, each.
+const FAILURES_PER_S: u32 = 50;
+
+/// Time between lines that say how many were left out.
+const LEFT_OUT_EVERY: Duration = Duration::from_secs(1);
+
+/// Writes lines and counts.
+#[derive(Debug)]
+pub struct Narrator {
+    table: Arc<Table>,
+    opened: Limit,
+    retried: Limit,
+    accepted: Limit,
+    refused: Limit,
+    reset: Limit,
+    beliefs: Limit,
+    last_left_out: Timestamp,
+    last_counts: Counts,
+}
+
+impl Narrator {
+    /// A narrator that has said nothing.
+    pub fn new() -> Self {
+        Self {
+            table: Arc::new(Table::default()),
+            opened: Limit::new(SUCCESSES_PER_S),
+            retried: Limit::new(FAILURES_PER_S),
+            accepted: Limit::new(SUCCESSES_PER_S),
+            refused: Limit::new(FAILURES_PER_S),
+            reset: Limit::new(FAILURES_PER_S),
+            beliefs: Limit::new(FAILURES_PER_S),
+            last_left_out: Timestamp::default(),
+            last_counts: Counts::default(),
+        }
+    }
+
+    /// Takes the table that names upstreams and zones.
+    pub fn set_table(&mut self, table: Arc<Table>) {
+        self.table = table;
+    }
+
+    /// Tells of a new table.
+    pub fn on_table(&mut self, table: &Table, shift: &Shift) {
+        if shift.version_before != shift.version {
+            tracing::info!(
+                before = shift.version_before,
+                version = shift.version,
+                routes = table.routes.len(),
+                "configuration in force"
+            );
+        }
+        gauge!("ibis_configuration_version").set(shift.version as f64);
+        gauge!("ibis_upstreams_eligible").set(shift.eligible as f64);
+        gauge!("ibis_entries").set(f64::from(shift.entries));
+        tracing::info!(
+            version = shift.version,
+            upstreams = table.upstreams.len(),
+            eligible_before = shift.eligible_before,
+            eligible = shift.eligible,
+            zones_out = shift.zones_out,
+            entries = shift.entries,
+            "table"
+        );
+    }
+
+    /// Tells of a decision.
+    pub fn on_event(&mut self, at: Timestamp, event: &Event) {
+        match event {
+            Event::Opened { flow, upstream, attempt, waited } => {
+                let limit = if *attempt == 0 { &mut self.opened } else { &mut self.retried };
+                if limit.allow(at) {
+                    let upstream = self.describe(*upstream);
+                    let waited_us = waited.as_micros() as u64;
+                    let version = self.table.version;
+                    let flow = name(flow);
+                    tracing::info!(
+                        at = at.as_micros(),
+                        flow,
+                        upstream,
+                        attempt,
+                        waited_us,
+                        version,
+                        "opening sent"
+                    );
+                }
+            }
+            Event::Accepted { flow, upstream, took } => {
+                histogram!("ibis_opening_seconds").record(took.as_secs_f64());
+                if self.accepted.allow(at) {
+                    let upstream = self.describe(*upstream);
+                    let took_us = took.as_micros() as u64;
+                    let flow = name(flow);
+                    tracing::info!(at = at.as_micros(), flow, upstream, took_us, "flow open");
+                }
+            }
+            Event::Refused { flow, reason } => {
+                counter!("ibis_refusals_total", "reason" => format!("{reason:?}")).increment(1);
+                if self.refused.allow(at) {
+                    let version = self.table.version;
+                    let flow = name(flow);
+                    tracing::warn!(at = at.as_micros(), flow, ?reason, version, "opening refused");
+                }
+            }
+            Event::ResetOpen { flow, upstream } => {
+                if self.reset.allow(at) {
+                    let upstream = upstream.map(|id| self.describe(id));
+                    let version = self.table.version;
+                    let flow = name(flow);
+                    tracing::warn!(at = at.as_micros(), flow, upstream, version, "flow reset");
+                }
+            }
+            Event::Avoided { upstream } => {
+                counter!("ibis_upstreams_avoided_total").increment(1);
+                if self.beliefs.allow(at) {
+                    let upstream = self.describe(*upstream);
+                    tracing::warn!(at = at.as_micros(), upstream, "upstream avoided");
+                }
+            }
+            Event::ZoneAvoided { zone } => {
+                if self.beliefs.allow(at) {
+                    let zone = self.zone(*zone);
+                    tracing::warn!(at = at.as_micros(), zone, "zone avoided");
+                }
+            }
+            Event::Returned { upstream } => {
+                if self.beliefs.allow(at) {
+                    let upstream = self.describe(*upstream);
+                    tracing::info!(at = at.as_micros(), upstream, "upstream answers again");
+                }
+            }
+        }
+    }
+
+    /// Takes counts over into the metrics.
+    pub fn on_counts(&mut self, counts: &Counts) {
+        counter!("ibis_packets_received_total").absolute(counts.received);
+        counter!("ibis_packets_steered_total").absolute(counts.engine.steered);
+        counter!("ibis_packets_corrected_total").absolute(counts.engine.corrected);
+        counter!("ibis_openings_total").absolute(counts.engine.openings);
+        counter!("ibis_hedges_total").absolute(counts.engine.hedges);
+        counter!("ibis_resets_total").absolute(counts.engine.resets);
+        counter!("ibis_drops_total", "reason" => "malformed").absolute(counts.malformed);
+        counter!("ibis_drops_total", "reason" => "no_route").absolute(counts.no_route);
+        counter!("ibis_drops_total", "reason" => "unknown_token").absolute(counts.unknown_token);
+        counter!("ibis_drops_total", "reason" => "late_copy").absolute(counts.late_copies);
+        counter!("ibis_drops_total", "reason" => "held_too_many").absolute(counts.held_lost);
+        counter!("ibis_drops_total", "reason" => "not_sent").absolute(counts.send_failed);
+        counter!("ibis_log_events_lost_total").absolute(counts.reports_lost);
+        gauge!("ibis_openings_remembered").set(counts.records as f64);
+        gauge!("ibis_loop_gap_seconds").set(counts.loop_gap_us as f64 / 1e6);
+        gauge!("ibis_opening_usual_seconds").set(counts.opening_us as f64 / 1e6);
+        tracing::info!(
+            received = counts.received - self.last_counts.received,
+            openings = counts.engine.openings - self.last_counts.engine.openings,
+            hedges = counts.engine.hedges - self.last_counts.engine.hedges,
+            copies = counts.engine.copies - self.last_counts.engine.copies,
+            accepted = counts.engine.accepted - self.last_counts.engine.accepted,
+            corrected = counts.engine.corrected - self.last_counts.engine.corrected,
+            refusals = counts.engine.refusals - self.last_counts.engine.refusals,
+            unknown_token = counts.unknown_token - self.last_counts.unknown_token,
+            held = counts.held - self.last_counts.held,
+            opening_us = counts.opening_us,
+            loop_gap_us = counts.loop_gap_us,
+            "counts"
+        );
+        self.last_counts = *counts;
+    }
+
+    /// Says how many lines were left out lately.
+    pub fn on_tick(&mut self, now: Timestamp) {
+        if now.since(self.last_left_out) < LEFT_OUT_EVERY {
+            return;
+        }
+        self.last_left_out = now;
+        let kinds = [
+            ("opening sent", &mut self.opened),
+            ("opening sent again", &mut self.retried),
+            ("flow open", &mut self.accepted),
+            ("opening refused", &mut self.refused),
+            ("flow reset", &mut self.reset),
+            ("belief changed", &mut self.beliefs),
+        ];
+        for (kind, limit) in kinds {
+            let left_out = limit.take_left_out();
+            if left_out > 0 {
+                tracing::info!(kind, left_out, "lines left out");
+            }
+        }
+    }
+
+    fn describe(&self, id: UpstreamId) -> String {
+        let Some(upstream) = self.table.upstreams.get(&id) else {
+            return format!("{:x}", id.0);
+        };
+        format!("{:x}@{}/{}", id.0, upstream.addr, self.zone(upstream.zone))
+    }
+
+    fn zone(&self, zone: ZoneId) -> &str {
+        self.table.zones.get(usize::from(zone.0)).map_or("?", String::as_str)
+    }
+}
+
+impl Default for Narrator {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// The name of a flow in logs: both ends.
+fn name(flow: &FlowKey) -> String {
+    format!("{}>{}", flow.client, flow.service)
+}
--- /dev/null
+++ b/crates/node/src/traffic.rs
@@ -0,0 +1,350 @@
+//! The traffic thread: one socket, the engine, and nothing that can block it.
+
+use std::io;
+use std::net::{SocketAddrV4, UdpSocket};
+use std::os::fd::AsFd;
+use std::sync::Arc;
+use std::sync::mpsc::{self, Receiver, Sender, SyncSender, TrySendError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use rustix::event::{PollFd, PollFlags, Timespec};
+use stdx::time::{Clock, Timestamp};
+use steer::engine::Drop;
+use steer::{Action, Engine, Event, Packet, Raw, Stats, Table, Token, UpstreamId};
+
+use crate::held::Held;
+
+/// Longest wait for a packet, so that commands are seen in time.
+const WAIT_MAX: Duration = Duration::from_millis(50);
+
+/// Packets that are read before timers and commands are looked at.
+const BATCH: usize = 64;
+
+/// Largest datagram that is read.
+const DATAGRAM_MAX: usize = 2_048;
+
+/// Bytes in front of a packet that say which upstream is meant.
+pub const FRAME_LEN: usize = 8;
+
+/// Reports that may wait for the control thread.
+const REPORTS_MAX: usize = 4_096;
+
+/// Time between reports of counts.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
+/// How packets look on the wire.
+#[derive(Debug, Clone, Copy)]
+pub struct Codec {
+    /// Reads a client's packet; `None` if it is malformed.
+    pub decode: fn(&[u8]) -> Option<Packet>,
+    /// Writes a token into a packet.
+    pub set_token: fn(&mut [u8], Token),
+    /// Writes a reset into a buffer and returns its length.
+    pub reset: fn(&steer::engine::Reset, &mut [u8]) -> usize,
+}
+
+/// What the traffic thread is told.
+#[derive(Debug)]
+pub enum Command {
+    /// A new table is in force.
+    Table(Arc<Table>),
+    /// The table may be old: packets that open flows wait for the next one.
+    Distrust,
+    /// Stop.
+    Stop,
+}
+
+/// What the traffic thread tells.
+#[derive(Debug, Clone, Copy)]
+pub enum Report {
+    /// A decision, and when it was taken.
+    Decision(Timestamp, Event),
+    /// Counts since the start.
+    Counts(Counts),
+    /// Since when some service has no upstream that answers; `None` if all have.
+    Unable(Option<Timestamp>),
+}
+
+/// Counts since the start.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Counts {
+    /// Of the engine.
+    pub engine: Stats,
+    /// Packets that came.
+    pub received: u64,
+    /// Packets that can't be read.
+    pub malformed: u64,
+    /// Packets of addresses without a service.
+    pub no_route: u64,
+    /// Packets whose token names nothing that they may go to.
+    pub unknown_token: u64,
+    /// Copies of openings that were not needed.
+    pub late_copies: u64,
+    /// Packets kept until the table is there.
+    pub held: u64,
+    /// Kept packets that had to go for newer ones.
+    pub held_lost: u64,
+    /// Packets that the system did not take.
+    pub send_failed: u64,
+    /// Reports that the control thread was too slow for.
+    pub reports_lost: u64,
+    /// Usual time of an opening, in microseconds.
+    pub opening_us: u64,
+    /// Openings remembered.
+    pub records: u64,
+    /// Longest gap between two turns of the loop since the last report, in microseconds.
+    pub loop_gap_us: u64,
+}
+
+/// What a traffic thread needs to run.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Where packets come in.
+    pub listen: SocketAddrV4,
+    /// The port at which clients receive packets of the system's own.
+    pub client_port: u16,
+    /// This entry's availability zone.
+    pub zone: String,
+    /// Bounds of the decisions.
+    pub engine: steer::Settings,
+    /// How packets look.
+    pub codec: Codec,
+}
+
+/// A running traffic thread.
+#[derive(Debug)]
+pub struct Handle {
+    /// Commands for it.
+    pub commands: Sender<Command>,
+    /// Its reports.
+    pub reports: Receiver<Report>,
+    /// The thread itself.
+    pub thread: JoinHandle<io::Result<()>>,
+}
+
+/// Starts the thread.
+///
+/// # Errors
+///
+/// Returns an error if the socket can't be bound or the thread can't be started.
+pub fn start(cfg: Config, clock: Clock) -> io::Result<Handle> {
+    let socket = UdpSocket::bind(cfg.listen)?;
+    socket.set_nonblocking(true)?;
+    let (commands, inbox) = mpsc::channel();
+    let (tx, reports) = mpsc::sync_channel(REPORTS_MAX);
+    let lane = Lane::new(cfg, socket, clock, tx);
+    let thread =
+        thread::Builder::new().name("traffic".to_owned()).spawn(move || lane.run(&inbox))?;
+    Ok(Handle { commands, reports, thread })
+}
+
+struct Lane {
+    cfg: Config,
+    socket: UdpSocket,
+    clock: Clock,
+    engine: Engine,
+    held: Held,
+    reports: SyncSender<Report>,
+    counts: Counts,
+    distrusted: bool,
+    last_report: Timestamp,
+    last_unable: Option<Timestamp>,
+    last_turn: Timestamp,
+}
+
+impl Lane {
+    fn new(cfg: Config, socket: UdpSocket, clock: Clock, reports: SyncSender<Report>) -> Self {
+        let now = clock.now();
+        Self {
+            engine: Engine::new(now, cfg.engine),
+            cfg,
+            socket,
+            clock,
+            held: Held::default(),
+            reports,
+            counts: Counts::default(),
+            distrusted: false,
+            last_report: now,
+            last_unable: None,
+            last_turn: now,
+        }
+    }
+
+    fn run(mut self, inbox: &Receiver<Command>) -> io::Result<()> {
+        let mut buf = [0_u8; FRAME_LEN + DATAGRAM_MAX];
+        loop {
+            self.wait()?;
+            let now = self.clock.now();
+            self.counts.loop_gap_us =
+                self.counts.loop_gap_us.max(now.since(self.last_turn).as_micros() as u64);
+            self.receive(now, &mut buf)?;
+            while let Ok(command) = inbox.try_recv() {
+                if !self.on_command(command) {
+                    return Ok(());
+                }
+            }
+            self.run_timers();
+            self.report();
+            self.last_turn = self.clock.now();
+        }
+    }
+
+    /// Waits for a packet or the next timer.
+    fn wait(&self) -> io::Result<()> {
+        let now = self.clock.now();
+        let due = self.engine.next_timer().map_or(WAIT_MAX, |at| at.since(now)).min(WAIT_MAX);
+        let timeout = Timespec { tv_sec: 0, tv_nsec: i64::from(due.subsec_nanos()) };
+        let fd = self.socket.as_fd();
+        match rustix::event::poll(&mut [PollFd::new(&fd, PollFlags::IN)], Some(&timeout)) {
+            Ok(_) | Err(rustix::io::Errno::INTR) => Ok(()),
+            Err(e) => Err(e.into()),
+        }
+    }
+
+    fn receive(&mut self, now: Timestamp, buf: &mut [u8]) -> io::Result<()> {
+        for _ in 0..BATCH {
+            match self.socket.recv(&mut buf[FRAME_LEN..]) {
+                Ok(len) => self.on_datagram(now, buf, len),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                // An answer of the network to an earlier packet, or a signal; the socket is fine.
+                Err(e) if is_passing(&e) => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    /// Handles the packet in `buf` behind the room for the frame.
+    fn on_datagram(&mut self, now: Timestamp, buf: &mut [u8], len: usize) {
+        self.counts.received += 1;
+        let Some(packet) = (self.cfg.codec.decode)(&buf[FRAME_LEN..FRAME_LEN + len]) else {
+            self.counts.malformed += 1;
+            return;
+        };
+        if self.distrusted && packet.syn {
+            self.hold(now, &buf[FRAME_LEN..FRAME_LEN + len]);
+            return;
+        }
+        match self.engine.on_packet(now, &packet, &buf[FRAME_LEN..FRAME_LEN + len]) {
+            Action::Forward(hop) => {
+                (self.cfg.codec.set_token)(&mut buf[FRAME_LEN..], hop.token);
+                self.send_framed(buf, len, hop.upstream, hop.addr);
+            }
+            Action::Reset(reset) => {
+                let len = (self.cfg.codec.reset)(&reset, &mut buf[FRAME_LEN..]);
+                let to = SocketAddrV4::new(*reset.flow.client.ip(), self.cfg.client_port);
+                self.send(&buf[FRAME_LEN..FRAME_LEN + len], to);
+            }
+            Action::Hold => self.hold(now, &buf[FRAME_LEN..FRAME_LEN + len]),
+            Action::Drop(reason) => self.count_drop(reason),
+        }
+    }
+
+    fn hold(&mut self, now: Timestamp, packet: &[u8]) {
+        self.counts.held += 1;
+        if !self.held.push(now, packet) {
+            self.counts.held_lost += 1;
+        }
+    }
+
+    fn count_drop(&mut self, reason: Drop) {
+        match reason {
+            Drop::NoRoute => self.counts.no_route += 1,
+            Drop::UnknownToken => self.counts.unknown_token += 1,
+            Drop::LateCopy | Drop::AfterRefusal => self.counts.late_copies += 1,
+        }
+    }
+
+    fn send_framed(&mut self, buf: &mut [u8], len: usize, id: UpstreamId, to: SocketAddrV4) {
+        buf[..FRAME_LEN].copy_from_slice(&id.0.to_be_bytes());
+        self.send(&buf[..FRAME_LEN + len], to);
+    }
+
+    fn send(&mut self, bytes: &[u8], to: SocketAddrV4) {
+        if self.socket.send_to(bytes, to).is_err() {
+            self.counts.send_failed += 1;
+        }
+    }
+
+    /// Returns false when the thread is to stop.
+    fn on_command(&mut self, command: Command) -> bool {
+        let now = self.clock.now();
+        match command {
+            Command::Table(table) => {
+                self.engine.apply(now, table, &self.cfg.zone);
+                self.distrusted = false;
+                self.replay(now);
+            }
+            Command::Distrust => self.distrusted = true,
+            Command::Stop => return false,
+        }
+        true
+    }
+
+    /// Handles packets that were kept, if the table is there by now.
+    fn replay(&mut self, now: Timestamp) {
+        if !self.engine.table().synced {
+            return;
+        }
+        let mut buf = [0_u8; FRAME_LEN + DATAGRAM_MAX];
+        while let Some(packet) = self.held.pop(now) {
+            buf[FRAME_LEN..FRAME_LEN + packet.len()].copy_from_slice(&packet);
+            self.on_datagram(now, &mut buf, packet.len());
+        }
+    }
+
+    fn run_timers(&mut self) {
+        let now = self.clock.now();
+        while let Some((hop, raw)) = self.engine.on_timer(now) {
+            self.send_again(hop.upstream, hop.token, hop.addr, &raw);
+        }
+    }
+
+    fn send_again(&mut self, id: UpstreamId, token: Token, to: SocketAddrV4, raw: &Raw) {
+        let mut buf = [0_u8; FRAME_LEN + steer::packet::RAW_MAX];
+        let bytes = raw.as_slice();
+        buf[FRAME_LEN..FRAME_LEN + bytes.len()].copy_from_slice(bytes);
+        (self.cfg.codec.set_token)(&mut buf[FRAME_LEN..], token);
+        self.send_framed(&mut buf, bytes.len(), id, to);
+    }
+
+    /// Tells the control thread what was decided. It may be too slow: traffic goes on.
+    fn report(&mut self) {
+        let now = self.clock.now();
+        let mut lost = 0;
+        for event in self.engine.take_events() {
+            if let Err(TrySendError::Full(_)) = self.reports.try_send(Report::Decision(now, event))
+            {
+                lost += 1;
+            }
+        }
+        self.counts.reports_lost += lost;
+        let unable = self.engine.unable_since();
+        if unable != self.last_unable && self.reports.try_send(Report::Unable(unable)).is_ok() {
+            self.last_unable = unable;
+        }
+        if now.since(self.last_report) < REPORT_EVERY {
+            return;
+        }
+        self.last_report = now;
+        self.counts.engine = self.engine.stats();
+        self.counts.opening_us = self.engine.opening_time().mean().as_micros() as u64;
+        self.counts.records = self.engine.open_records() as u64;
+        if self.reports.try_send(Report::Counts(self.counts)).is_ok() {
+            self.counts.loop_gap_us = 0;
+        }
+    }
+}
+
+/// Whether an error of a socket says nothing about the socket.
+fn is_passing(e: &io::Error) -> bool {
+    matches!(
+        e.kind(),
+        io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+            | io::ErrorKind::Interrupted
+    )
+}
--- /dev/null
+++ b/crates/steer/src/choice.rs
@@ -0,0 +1,317 @@
+//! Which upstream a new flow goes to, from what this entry has seen of each.
+//!
+//! Counts, failures and the reachability of zones come from openings alone: they cost nothing and
+//! can't be out of date by more than the time between two openings.
+
+use std::time::Duration;
+
+use balance::Budget;
+use indexmap::IndexMap;
+use stdx::time::Timestamp;
+
+use crate::table::{Service, ServiceId, Table, Upstream, UpstreamId, ZoneId};
+
+/// Openings in a row without an answer after which an upstream is avoided: one can be a lost
+/// packet.
+const STRIKES_TO_AVOID: u32 = 2;
+
+/// Openings in a row without an answer from a zone after which the zone is avoided; they have to
+/// be of two upstreams or more.
+const ZONE_STRIKES_TO_AVOID: u32 = 3;
+
+/// Time that an upstream is avoided at first; it doubles with each further failure.
+const AVOID_FIRST: Duration = Duration::from_millis(1000);
+
+/// Time that a zone is avoided at first; it doubles with each further failure.
+const ZONE_AVOID_FIRST: Duration = Duration::from_millis(500);
+
+/// Doublings of both times at most.
+const AVOID_DOUBLINGS: u32 = 3;
+
+/// Open flows that an upstream in another zone counts as more than it has; bytes between zones
+/// cost, a queue costs more.
+const REMOTE_COST: u32 = 1;
+
+/// Part of the cold limit that is used; the rest covers packets that bunch up on their way.
+const COLD_MARGIN: f64 = 0.8;
+
+/// What one entry knows of all upstreams from its own openings.
+#[derive(Debug, Clone)]
+pub struct Choices {
+    own_zone: Option<ZoneId>,
+    /// Time after its return during which an upstream may be cold without its record saying so.
+    settle: Duration,
+    upstreams: IndexMap<UpstreamId, State>,
+    zones: IndexMap<ZoneId, ZoneState>,
+    picks: u64,
+}
+
+#[derive(Debug, Clone)]
+struct State {
+    started_ms: Option<u64>,
+    open: u32,
+    last_pick: u64,
+    strikes: u32,
+    avoid_until: Timestamp,
+    /// Until when the upstream, just returned, counts as cold.
+    unproven_until: Timestamp,
+    cold_opens: Budget,
+}
+
+#[derive(Debug, Clone, Default)]
+struct ZoneState {
+    strikes: u32,
+    last_struck: Option<UpstreamId>,
+    several: bool,
+    avoid_until: Timestamp,
+    doublings: u32,
+    /// Since when nothing in the zone has answered, while it is avoided.
+    silent_since: Option<Timestamp>,
+}
+
+stdx::value! {
+    /// Why no upstream was chosen.
+    pub enum NoChoice {
+        /// The service has no upstream that takes new flows.
+        NoneEligible,
+        /// Every eligible upstream is cold and at its limit.
+        AllAtLimit,
+    }
+
+    /// What an unanswered opening changed.
+    pub enum Struck {
+        /// Nothing yet.
+        Counted,
+        /// The upstream is avoided from now on.
+        UpstreamAvoided,
+        /// Its whole zone is avoided from now on.
+        ZoneAvoided,
+    }
+
+    /// How well an upstream fits, best first.
+    enum Tier {
+        Fit,
+        Cold,
+        Unproven,
+        Avoided,
+    }
+}
+
+impl Choices {
+    /// Knows nothing yet.
+    pub fn new(settle: Duration) -> Self {
+        Self {
+            own_zone: None,
+            settle,
+            upstreams: IndexMap::new(),
+            zones: IndexMap::new(),
+            picks: 0,
+        }
+    }
+
+    /// Takes over a new table. An upstream that started anew is a new one.
+    pub fn apply(&mut self, now: Timestamp, table: &Table, own_zone: Option<ZoneId>) {
+        self.own_zone = own_zone;
+        self.upstreams.retain(|id, _| table.upstreams.contains_key(id));
+        for (id, upstream) in &table.upstreams {
+            let state = self.upstreams.entry(*id).or_insert_with(|| State::new(now, upstream));
+            if upstream.started_ms.is_some() && state.started_ms != upstream.started_ms {
+                *state = State::new(now, upstream);
+            }
+        }
+    }
+
+    /// Chooses the upstream for a new flow of `service` and counts the flow there.
+    ///
+    /// Warm upstreams that answer come first. Among them the one with the fewest own flows wins,
+    /// then one of the own zone, then the one left alone the longest.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no upstream may take the flow.
+    pub fn pick(
+        &mut self,
+        now: Timestamp,
+        table: &Table,
+        service: ServiceId,
+        excluded: &[UpstreamId],
+        usable: impl Fn(UpstreamId) -> bool,
+    ) -> Result<UpstreamId, NoChoice> {
+        let mut eligible = false;
+        let mut best: Option<((Tier, u32, bool, u64), UpstreamId)> = None;
+        let limits = table.services.get(usize::from(service.0));
+        for (id, upstream) in &table.upstreams {
+            if upstream.service != service || !upstream.takes_new || !usable(*id) {
+                continue;
+            }
+            eligible = true;
+            if excluded.contains(id) {
+                continue;
+            }
+            let Some(tier) = self.tier(now, upstream, limits, table.entries) else {
+                continue;
+            };
+            let state = &self.upstreams[id];
+            let remote = self.own_zone != Some(upstream.zone);
+            let cost = state.open + if remote { REMOTE_COST } else { 0 };
+            let rank = (tier, cost, remote, state.last_pick);
+            if best.is_none_or(|(least, _)| rank < least) {
+                best = Some((rank, *id));
+            }
+        }
+        let Some(((tier, ..), id)) = best else {
+            return Err(if eligible { NoChoice::AllAtLimit } else { NoChoice::NoneEligible });
+        };
+        self.picks += 1;
+        let state = &mut self.upstreams[&id];
+        state.last_pick = self.picks;
+        state.open += 1;
+        if tier != Tier::Fit {
+            state.cold_opens.take(now, 1.0);
+        }
+        Ok(id)
+    }
+
+    /// Counts the end of a flow, or of a try.
+    pub fn close(&mut self, id: UpstreamId) {
+        if let Some(state) = self.upstreams.get_mut(&id) {
+            state.open = state.open.saturating_sub(1);
+        }
+    }
+
+    /// Notes that an upstream accepted an opening. Returns whether it had been avoided.
+    pub fn succeeded(&mut self, now: Timestamp, table: &Table, id: UpstreamId) -> bool {
+        let settle = self.settle;
+        let Some((state, upstream)) = self.upstreams.get_mut(&id).zip(table.upstreams.get(&id))
+        else {
+            return false;
+        };
+        let returns = state.strikes >= STRIKES_TO_AVOID;
+        state.strikes = 0;
+        state.avoid_until = Timestamp::default();
+        if returns {
+            state.unproven_until = now + settle;
+        }
+        let zone_returned =
+            self.zones.swap_remove(&upstream.zone).is_some_and(|zone| zone.silent_since.is_some());
+        if zone_returned {
+            self.forgive(now, table, upstream.zone);
+        }
+        returns
+    }
+
+    /// Notes that an opening was not answered in time.
+    pub fn struck(&mut self, now: Timestamp, table: &Table, id: UpstreamId) -> Struck {
+        let Some((state, upstream)) = self.upstreams.get_mut(&id).zip(table.upstreams.get(&id))
+        else {
+            return Struck::Counted;
+        };
+        state.strikes = state.strikes.saturating_add(1);
+        let avoided = if let Some(further) = state.strikes.checked_sub(STRIKES_TO_AVOID) {
+            state.avoid_until = now + AVOID_FIRST * 2_u32.pow(further.min(AVOID_DOUBLINGS));
+            true
+        } else {
+            false
+        };
+        let zone = self.zones.entry(upstream.zone).or_default();
+        zone.strikes += 1;
+        zone.several |= zone.last_struck.is_some_and(|last| last != id);
+        zone.last_struck = Some(id);
+        if zone.strikes >= ZONE_STRIKES_TO_AVOID && zone.several && zone.avoid_until <= now {
+            zone.avoid_until = now + ZONE_AVOID_FIRST * 2_u32.pow(zone.doublings);
+            zone.doublings = (zone.doublings + 1).min(AVOID_DOUBLINGS);
+            zone.silent_since.get_or_insert(now);
+            return Struck::ZoneAvoided;
+        }
+        if avoided { Struck::UpstreamAvoided } else { Struck::Counted }
+    }
+
+    /// Whether some service has upstreams that take new flows but none in a zone that answers.
+    /// Returns since when.
+    pub fn unable_since(&self, table: &Table) -> Option<Timestamp> {
+        let mut worst = None;
+        for service in 0..table.services.len() {
+            let service = ServiceId(service as u16);
+            let mut silent: Option<Timestamp> = None;
+            let mut of_service = table
+                .upstreams
+                .values()
+                .filter(|upstream| upstream.service == service && upstream.takes_new)
+                .peekable();
+            if of_service.peek().is_none() {
+                continue;
+            }
+            let all_silent = of_service.all(|upstream| {
+                let since = self.zones.get(&upstream.zone).and_then(|zone| zone.silent_since);
+                silent = silent.max(since);
+                since.is_some()
+            });
+            if all_silent {
+                worst = worst.max(silent);
+            }
+        }
+        worst
+    }
+
+    /// Open flows that this entry counts at an upstream.
+    pub fn open_flows(&self, id: UpstreamId) -> u32 {
+        self.upstreams.get(&id).map_or(0, |state| state.open)
+    }
+
+    /// How an upstream fits; `None` if it may not take a flow now.
+    fn tier(
+        &mut self,
+        now: Timestamp,
+        upstream: &Upstream,
+        limits: Option<&Service>,
+        entries: u32,
+    ) -> Option<Tier> {
+        let zone_avoided =
+            self.zones.get(&upstream.zone).is_some_and(|zone| zone.avoid_until > now);
+        let state = self.upstreams.get_mut(&upstream.id)?;
+        if upstream.cold_until > now {
+            let entries = f64::from(entries.max(1));
+            let rate = limits.map_or(0.0, |l| l.cold_opens_per_s) * COLD_MARGIN / entries;
+            let burst = limits.map_or(0.0, |l| l.cold_burst) * COLD_MARGIN / entries;
+            state.cold_opens.set_rate(now, burst, rate);
+            if !state.cold_opens.holds(now, 1.0) {
+                return None;
+            }
+            return Some(if zone_avoided || state.avoid_until > now {
+                Tier::Avoided
+            } else {
+                Tier::Cold
+            });
+        }
+        if zone_avoided || state.avoid_until > now {
+            return Some(Tier::Avoided);
+        }
+        Some(if state.unproven_until > now { Tier::Unproven } else { Tier::Fit })
+    }
+
+    /// Forgets failures of upstreams whose zone was away: they say nothing of the upstreams.
+    fn forgive(&mut self, now: Timestamp, table: &Table, zone: ZoneId) {
+        for (id, state) in &mut self.upstreams {
+            let in_zone = table.upstreams.get(id).is_some_and(|upstream| upstream.zone == zone);
+            if in_zone && state.strikes > 0 {
+                state.strikes = 0;
+                state.avoid_until = Timestamp::default();
+                state.unproven_until = now + self.settle;
+            }
+        }
+    }
+}
+
+impl State {
+    fn new(now: Timestamp, upstream: &Upstream) -> Self {
+        Self {
+            started_ms: upstream.started_ms,
+            open: 0,
+            last_pick: 0,
+            strikes: 0,
+            avoid_until: Timestamp::default(),
+            unproven_until: Timestamp::default(),
+            cold_opens: Budget::new(now, 0.0, 0.0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/steer/src/engine.rs
@@ -0,0 +1,587 @@
+//! What to do with each packet, given the table, the openings and `now`.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use balance::Budget;
+use indexmap::IndexMap;
+use stdx::time::Timestamp;
+
+use crate::choice::{Choices, NoChoice, Struck};
+use crate::openings::{Opening, Openings, Stage};
+use crate::packet::{FlowKey, Packet, Raw};
+use crate::table::{Route, Table, Token, Upstream, UpstreamId, ZoneId};
+use crate::timing::OpeningTime;
+
+/// Hedges that each opening adds to the budget; a fraction, so that hedges can't double a load.
+const HEDGES_PER_OPENING: f64 = 0.2;
+
+/// Hedges that may be sent at once, after a time with few.
+const HEDGE_BURST: f64 = 20.0;
+
+/// Hedges a second that are allowed however few openings there are.
+const HEDGES_PER_S: f64 = 5.0;
+
+/// Time without a packet after which an unanswered opening is forgotten: clients give up at 1.4 s.
+const FORGET_UNANSWERED: Duration = Duration::from_secs(2);
+
+/// Time without a packet after which a flow that has ended is forgotten.
+const FORGET_CLOSED: Duration = Duration::from_secs(2);
+
+/// Time without a packet after which an open flow no longer counts as in flight; its token still
+/// steers it.
+const FORGET_OPEN: Duration = Duration::from_secs(20);
+
+/// An acknowledgement at most this far after the first belongs to the same answer stream: half of
+/// the sequence space.
+const SAME_STREAM: u32 = 1 << 31;
+
+stdx::value! {
+    /// Bounds of the decisions.
+    pub struct Settings {
+        /// Wait before a second upstream is tried, at the least.
+        pub hedge_least: Duration,
+        /// The same while nothing was measured, and at the most.
+        pub hedge_most: Duration,
+        /// Upstreams that this entry tries by itself for one opening.
+        pub tries: u32,
+        /// Openings that are remembered.
+        pub openings: usize,
+        /// A gap between two looks at the clock that shows that this process was held up.
+        pub stall: Duration,
+        /// Time after its return during which an upstream may be cold without its record saying
+        /// so.
+        pub settle: Duration,
+    }
+
+    /// What to do with a packet.
+    pub enum Action {
+        /// Send it to an upstream, with this token.
+        Forward(Hop),
+        /// Tell the client that its flow is over.
+        Reset(Reset),
+        /// Keep it until the table is there.
+        Hold,
+        /// Say nothing.
+        Drop(Drop),
+    }
+
+    /// Where a packet goes.
+    pub struct Hop {
+        /// The upstream.
+        pub upstream: UpstreamId,
+        /// Its token.
+        pub token: Token,
+        /// Where it receives packets.
+        pub addr: std::net::SocketAddrV4,
+    }
+
+    /// A reset for a client.
+    pub struct Reset {
+        /// The flow.
+        pub flow: FlowKey,
+        /// A sequence number inside the client's window.
+        pub seq: u32,
+    }
+
+    /// Why a packet was dropped.
+    pub enum Drop {
+        /// Its address is no service's and never was.
+        NoRoute,
+        /// Its token names no upstream that its address may go to.
+        UnknownToken,
+        /// A copy of an opening whose flow is open already.
+        LateCopy,
+        /// A packet of a flow that this entry has refused.
+        AfterRefusal,
+    }
+
+    /// Why an opening was refused. Nothing was sent to an upstream for it.
+    pub enum Refusal {
+        /// No such service.
+        NoRoute,
+        /// No upstream takes new flows.
+        NoneEligible,
+        /// All upstreams that could take it are cold and at their limit.
+        AllAtLimit,
+    }
+
+    /// A decision, for the log.
+    pub enum Event {
+        /// An opening went to an upstream.
+        Opened {
+            /// The flow.
+            flow: FlowKey,
+            /// The upstream.
+            upstream: UpstreamId,
+            /// Upstreams tried before.
+            attempt: u32,
+            /// Time since the first packet of the opening.
+            waited: Duration,
+        },
+        /// The client took an upstream's answer.
+        Accepted {
+            /// The flow.
+            flow: FlowKey,
+            /// The upstream.
+            upstream: UpstreamId,
+            /// Time since it was tried.
+            took: Duration,
+        },
+        /// An opening was refused.
+        Refused {
+            /// The flow.
+            flow: FlowKey,
+            /// Why.
+            reason: Refusal,
+        },
+        /// An open flow was reset, because it can't go on.
+        ResetOpen {
+            /// The flow.
+            flow: FlowKey,
+            /// Its upstream, if it was the upstream that ended and not the route.
+            upstream: Option<UpstreamId>,
+        },
+        /// An upstream is avoided, because it does not answer.
+        Avoided {
+            /// The upstream.
+            upstream: UpstreamId,
+        },
+        /// A zone is avoided, because nothing in it answers.
+        ZoneAvoided {
+            /// The zone.
+            zone: ZoneId,
+        },
+        /// An avoided upstream answers again.
+        Returned {
+            /// The upstream.
+            upstream: UpstreamId,
+        },
+    }
+}
+
+/// What was counted since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Openings seen, copies not counted.
+    pub openings: u64,
+    /// Second and further upstreams tried by this entry.
+    pub hedges: u64,
+    /// Copies of openings that clients sent.
+    pub copies: u64,
+    /// Openings that a client acknowledged.
+    pub accepted: u64,
+    /// Packets forwarded by their token.
+    pub steered: u64,
+    /// Packets whose token was not their flow's upstream and was put right.
+    pub corrected: u64,
+    /// Refusals.
+    pub refusals: u64,
+    /// Resets of open flows.
+    pub resets: u64,
+}
+
+/// The decisions of one entry.
+#[derive(Debug)]
+pub struct Engine {
+    cfg: Settings,
+    table: Arc<Table>,
+    tokens: IndexMap<Token, Vec<UpstreamId>>,
+    choices: Choices,
+    openings: Openings,
+    timers: BinaryHeap<Reverse<(Timestamp, FlowKey)>>,
+    opening_time: OpeningTime,
+    hedges: Budget,
+    last_look: Timestamp,
+    stats: Stats,
+    events: Vec<Event>,
+}
+
+impl Engine {
+    /// An engine that knows no upstream.
+    pub fn new(now: Timestamp, cfg: Settings) -> Self {
+        Self {
+            cfg,
+            table: Arc::new(Table::default()),
+            tokens: IndexMap::new(),
+            choices: Choices::new(cfg.settle),
+            openings: Openings::new(cfg.openings),
+            timers: BinaryHeap::new(),
+            opening_time: OpeningTime::default(),
+            hedges: Budget::new(now, HEDGE_BURST, HEDGES_PER_S),
+            last_look: now,
+            stats: Stats::default(),
+            events: Vec::new(),
+        }
+    }
+
+    /// Decides for a packet of a client. `raw` is the packet as it came, kept if it is an opening.
+    pub fn on_packet(&mut self, now: Timestamp, packet: &Packet, raw: &[u8]) -> Action {
+        if !self.table.synced {
+            return Action::Hold;
+        }
+        if packet.syn && !packet.acks {
+            return self.on_opening(now, packet, raw);
+        }
+        self.on_later(now, packet)
+    }
+
+    /// The next opening packet that has to be sent to a further upstream, if one is due.
+    pub fn on_timer(&mut self, now: Timestamp) -> Option<(Hop, Raw)> {
+        // After a stall the answers are waiting to be read; silence is counted from here.
+        let stalled = now.since(self.last_look) > self.cfg.stall;
+        self.last_look = now;
+        while let Some(Reverse((due, flow))) = self.timers.peek().copied() {
+            if due > now {
+                return None;
+            }
+            self.timers.pop();
+            if stalled && self.is_opening(&flow) {
+                self.timers.push(Reverse((now + self.late_after(), flow)));
+                continue;
+            }
+            if let Some(hedge) = self.on_due(now, &flow) {
+                return Some(hedge);
+            }
+        }
+        None
+    }
+
+    /// When [`Engine::on_timer`] has work next.
+    pub fn next_timer(&self) -> Option<Timestamp> {
+        self.timers.peek().map(|Reverse((due, _))| *due)
+    }
+
+    /// Takes over a new table.
+    pub fn apply(&mut self, now: Timestamp, table: Arc<Table>, own_zone: &str) {
+        let own_zone = table.zones.iter().position(|zone| zone == own_zone);
+        self.choices.apply(now, &table, own_zone.map(|place| ZoneId(place as u16)));
+        self.tokens.clear();
+        for id in table.upstreams.keys() {
+            self.tokens.entry(id.token()).or_default().push(*id);
+        }
+        self.table = table;
+    }
+
+    /// The table in force.
+    pub fn table(&self) -> &Arc<Table> {
+        &self.table
+    }
+
+    /// Since when some service's upstreams are all in zones that do not answer.
+    pub fn unable_since(&self) -> Option<Timestamp> {
+        self.choices.unable_since(&self.table)
+    }
+
+    /// What was counted.
+    pub fn stats(&self) -> Stats {
+        self.stats
+    }
+
+    /// Usual time of an opening.
+    pub fn opening_time(&self) -> &OpeningTime {
+        &self.opening_time
+    }
+
+    /// Openings that are remembered.
+    pub fn open_records(&self) -> usize {
+        self.openings.len()
+    }
+
+    /// Open flows that this entry counts at an upstream.
+    pub fn open_flows(&self, id: UpstreamId) -> u32 {
+        self.choices.open_flows(id)
+    }
+
+    /// The decisions since the last call.
+    pub fn take_events(&mut self) -> std::vec::Drain<'_, Event> {
+        self.events.drain(..)
+    }
+
+    fn on_opening(&mut self, now: Timestamp, packet: &Packet, raw: &[u8]) -> Action {
+        let flow = packet.flow;
+        if let Some(known) = self.openings.get_mut(&flow).filter(|known| known.seq == packet.seq) {
+            known.last = now;
+            return match known.stage {
+                Stage::Opening => self.on_copy(now, &flow),
+                Stage::Refused => Action::Drop(Drop::AfterRefusal),
+                Stage::Open { .. } | Stage::Closed { .. } => Action::Drop(Drop::LateCopy),
+            };
+        }
+        if let Some(before) = self.openings.remove(&flow) {
+            self.release(&before);
+        }
+        self.stats.openings += 1;
+        self.hedges.earn(HEDGES_PER_OPENING);
+        let Some(service) =
+            self.table.routes.get(&flow.service).and_then(|route| route.service_for(draw(&flow)))
+        else {
+            return self.refuse(packet, Refusal::NoRoute);
+        };
+        let mut opening = Opening::new(now, service, packet.seq, Raw::new(raw));
+        let hop = match self.pick(now, &opening) {
+            Ok(hop) => hop,
+            Err(NoChoice::NoneEligible) => return self.refuse(packet, Refusal::NoneEligible),
+            Err(NoChoice::AllAtLimit) => return self.refuse(packet, Refusal::AllAtLimit),
+        };
+        opening.add_try(now, hop.upstream);
+        self.note_opened(&flow, &hop, 0, Duration::ZERO);
+        if let Some(evicted) = self.openings.insert(flow, opening) {
+            self.release(&evicted);
+        }
+        self.timers.push(Reverse((now + self.late_after(), flow)));
+        Action::Forward(hop)
+    }
+
+    /// A client's copy of an opening that nobody answered yet: to a further upstream if there is
+    /// one, because the first may be gone, else to the newest again.
+    fn on_copy(&mut self, now: Timestamp, flow: &FlowKey) -> Action {
+        self.stats.copies += 1;
+        self.strike_newest(now, flow);
+        match self.try_further(now, flow) {
+            Some(hop) => Action::Forward(hop),
+            None => self.newest_hop(flow).map_or(Action::Drop(Drop::UnknownToken), Action::Forward),
+        }
+    }
+
+    /// A packet of a flow that is open, as far as the client knows.
+    fn on_later(&mut self, now: Timestamp, packet: &Packet) -> Action {
+        let flow = packet.flow;
+        if !self.table.routes.contains_key(&flow.service) {
+            return self.on_routeless(packet);
+        }
+        let upstream = self.note_progress(now, packet);
+        let by_token = self.by_token(packet);
+        let upstream = match (upstream, by_token) {
+            (Some(recorded), token) => {
+                self.stats.corrected += u64::from(token != Some(recorded));
+                recorded
+            }
+            (None, Some(token)) => token,
+            (None, None) => return Action::Drop(Drop::UnknownToken),
+        };
+        let Some(upstream) = self.table.upstreams.get(&upstream) else {
+            return Action::Drop(Drop::UnknownToken);
+        };
+        if upstream.ended && !packet.rst {
+            let upstream = upstream.id;
+            return self.reset_open(packet, Some(upstream));
+        }
+        self.stats.steered += 1;
+        Action::Forward(hop_to(upstream))
+    }
+
+    fn on_routeless(&mut self, packet: &Packet) -> Action {
+        if self.table.dropped.contains(&packet.flow.service) && !packet.rst {
+            return self.reset_open(packet, None);
+        }
+        Action::Drop(Drop::NoRoute)
+    }
+
+    /// Notes what a packet says about its opening. Returns the flow's upstream if that is known.
+    fn note_progress(&mut self, now: Timestamp, packet: &Packet) -> Option<UpstreamId> {
+        let by_token = self.by_token(packet);
+        let opening = self.openings.get_mut(&packet.flow)?;
+        opening.last = now;
+        if opening.stage == Stage::Opening && packet.acks {
+            let tried = opening.tries().find(|tried| Some(tried.upstream) == by_token).copied();
+            let only = opening.tries().count() == 1;
+            let upstream = tried.map(|tried| tried.upstream).or(by_token)?;
+            opening.stage = Stage::Open { upstream, base: packet.ack };
+            let others: Vec<UpstreamId> = opening
+                .tries()
+                .map(|tried| tried.upstream)
+                .filter(|other| *other != upstream)
+                .collect();
+            for other in others {
+                self.choices.close(other);
+            }
+            if let Some(tried) = tried {
+                self.note_accepted(now, packet, tried.upstream, now.since(tried.at), only);
+            }
+        }
+        let ends = packet.fin || packet.rst;
+        let opening = self.openings.get_mut(&packet.flow)?;
+        match opening.stage {
+            Stage::Open { upstream, base } => {
+                if ends {
+                    opening.stage = Stage::Closed { upstream, base };
+                    self.choices.close(upstream);
+                }
+                same_stream(packet, base).then_some(upstream)
+            }
+            Stage::Closed { upstream, base } => same_stream(packet, base).then_some(upstream),
+            Stage::Opening if ends => {
+                let given_up = self.openings.remove(&packet.flow)?;
+                self.release(&given_up);
+                None
+            }
+            Stage::Opening | Stage::Refused => None,
+        }
+    }
+
+    fn note_accepted(
+        &mut self,
+        now: Timestamp,
+        packet: &Packet,
+        upstream: UpstreamId,
+        took: Duration,
+        only: bool,
+    ) {
+        self.stats.accepted += 1;
+        if only {
+            self.opening_time.observe(took);
+        }
+        self.events.push(Event::Accepted { flow: packet.flow, upstream, took });
+        if self.choices.succeeded(now, &self.table, upstream) {
+            self.events.push(Event::Returned { upstream });
+        }
+    }
+
+    /// The upstream that a packet's token names, among those its address may ever have gone to.
+    fn by_token(&self, packet: &Packet) -> Option<UpstreamId> {
+        let route = self.table.routes.get(&packet.flow.service)?;
+        let named = self.tokens.get(&packet.token)?;
+        named.iter().copied().find(|id| self.may_hold(route, *id))
+    }
+
+    fn may_hold(&self, route: &Route, id: UpstreamId) -> bool {
+        self.table.upstreams.get(&id).is_some_and(|upstream| route.ever.contains(&upstream.service))
+    }
+
+    /// What is due for a flow: a further try, or to be forgotten.
+    fn on_due(&mut self, now: Timestamp, flow: &FlowKey) -> Option<(Hop, Raw)> {
+        let opening = *self.openings.get(flow)?;
+        let keep = match opening.stage {
+            Stage::Opening => FORGET_UNANSWERED,
+            Stage::Open { .. } => FORGET_OPEN,
+            Stage::Closed { .. } | Stage::Refused => FORGET_CLOSED,
+        };
+        let forget_at = opening.last + keep;
+        if forget_at <= now {
+            let forgotten = self.openings.remove(flow)?;
+            self.release(&forgotten);
+            return None;
+        }
+        let hedge = self.hedge(now, flow, &opening);
+        let next = if hedge.is_some() { now + self.late_after() } else { forget_at };
+        self.timers.push(Reverse((next, *flow)));
+        hedge
+    }
+
+    fn hedge(&mut self, now: Timestamp, flow: &FlowKey, opening: &Opening) -> Option<(Hop, Raw)> {
+        if opening.stage != Stage::Opening {
+            return None;
+        }
+        self.strike_newest(now, flow);
+        let raw = opening.raw?;
+        if opening.tries().count() >= self.cfg.tries as usize || !self.hedges.take(now, 1.0) {
+            return None;
+        }
+        let hop = self.try_further(now, flow)?;
+        self.stats.hedges += 1;
+        Some((hop, raw))
+    }
+
+    fn strike_newest(&mut self, now: Timestamp, flow: &FlowKey) {
+        let Some(id) = self.openings.get_mut(flow).and_then(Opening::strike_newest) else {
+            return;
+        };
+        match self.choices.struck(now, &self.table, id) {
+            Struck::Counted => {}
+            Struck::UpstreamAvoided => self.events.push(Event::Avoided { upstream: id }),
+            Struck::ZoneAvoided => {
+                if let Some(upstream) = self.table.upstreams.get(&id) {
+                    self.events.push(Event::ZoneAvoided { zone: upstream.zone });
+                }
+            }
+        }
+    }
+
+    fn try_further(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Hop> {
+        let opening = *self.openings.get(flow)?;
+        let attempt = opening.tries().count() as u32;
+        let hop = self.pick(now, &opening).ok()?;
+        let added =
+            self.openings.get_mut(flow).is_some_and(|known| known.add_try(now, hop.upstream));
+        if !added {
+            self.choices.close(hop.upstream);
+            return None;
+        }
+        self.note_opened(flow, &hop, attempt, now.since(opening.since));
+        Some(hop)
+    }
+
+    fn newest_hop(&self, flow: &FlowKey) -> Option<Hop> {
+        let newest = self.openings.get(flow)?.tries().next_back()?.upstream;
+        let upstream = self.table.upstreams.get(&newest)?;
+        upstream.takes_new.then(|| hop_to(upstream))
+    }
+
+    fn pick(&mut self, now: Timestamp, opening: &Opening) -> Result<Hop, NoChoice> {
+        let tried: Vec<UpstreamId> = opening.tries().map(|tried| tried.upstream).collect();
+        let tokens = &self.tokens;
+        // Of upstreams whose tokens collide only the first may open flows: the others' packets
+        // could not be told apart.
+        let usable = |id: UpstreamId| {
+            let token = id.token();
+            token != Token(0) && tokens.get(&token).and_then(|same| same.first()) == Some(&id)
+        };
+        let table = Arc::clone(&self.table);
+        let id = self.choices.pick(now, &table, opening.service, &tried, usable)?;
+        let upstream = table.upstreams.get(&id).ok_or(NoChoice::NoneEligible)?;
+        Ok(hop_to(upstream))
+    }
+
+    fn refuse(&mut self, packet: &Packet, reason: Refusal) -> Action {
+        self.stats.refusals += 1;
+        self.events.push(Event::Refused { flow: packet.flow, reason });
+        Action::Reset(Reset { flow: packet.flow, seq: 0 })
+    }
+
+    fn reset_open(&mut self, packet: &Packet, upstream: Option<UpstreamId>) -> Action {
+        self.stats.resets += 1;
+        self.events.push(Event::ResetOpen { flow: packet.flow, upstream });
+        Action::Reset(Reset { flow: packet.flow, seq: packet.ack })
+    }
+
+    fn note_opened(&mut self, flow: &FlowKey, hop: &Hop, attempt: u32, waited: Duration) {
+        let upstream = hop.upstream;
+        self.events.push(Event::Opened { flow: *flow, upstream, attempt, waited });
+    }
+
+    /// Takes a record's flows off the counts.
+    fn release(&mut self, opening: &Opening) {
+        match opening.stage {
+            Stage::Opening => opening.tries().for_each(|tried| self.choices.close(tried.upstream)),
+            Stage::Open { upstream, .. } => self.choices.close(upstream),
+            Stage::Closed { .. } | Stage::Refused => {}
+        }
+    }
+
+    fn is_opening(&self, flow: &FlowKey) -> bool {
+        self.openings.get(flow).is_some_and(|opening| opening.stage == Stage::Opening)
+    }
+
+    fn late_after(&self) -> Duration {
+        self.opening_time.late_after(self.cfg.hedge_least, self.cfg.hedge_most)
+    }
+}
+
+fn hop_to(upstream: &Upstream) -> Hop {
+    Hop { upstream: upstream.id, token: upstream.id.token(), addr: upstream.addr }
+}
+
+/// Whether a packet acknowledges bytes of the stream that began at `base`.
+fn same_stream(packet: &Packet, base: u32) -> bool {
+    packet.ack.wrapping_sub(base) < SAME_STREAM
+}
+
+/// A number that is the same for all packets of a flow, for a route that is split.
+fn draw(flow: &FlowKey) -> u64 {
+    let client = u64::from(u32::from(*flow.client.ip())) << 16 | u64::from(flow.client.port());
+    // Fibonacci hashing spreads neighbouring ports.
+    client.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32
+}
--- /dev/null
+++ b/crates/steer/src/lib.rs
@@ -0,0 +1,18 @@
+//! Steering: what an entry does with a packet when both ends of a flow return a token.
+//!
+//! The entry writes the token of the chosen upstream into the opening packet. Later packets bring
+//! it back, at whichever entry, so that no entry needs a table of flows. Only openings are
+//! remembered, for a while: for copies, hedges, counts and refusals.
+//!
+//! Pure data: nothing here does I/O or reads a clock, and no outer protocol is known.
+
+pub mod choice;
+pub mod engine;
+pub mod openings;
+pub mod packet;
+pub mod table;
+pub mod timing;
+
+pub use engine::{Action, Drop, Engine, Event, Refusal, Settings, Stats};
+pub use packet::{FlowKey, Packet, Raw};
+pub use table::{Route, Service, Table, Target, Token, Upstream, UpstreamId, ZoneId};
