Say that an entry can't serve by evidence, and let it in again by evidence

Ruled out: slow detection of the cut (0.1 s in the log). An answer also forgives the zone's upstreams.

--- a/crates/directory/src/believed.rs
+++ b/crates/directory/src/believed.rs
@@ -187,12 +187,12 @@
         self.config.is_some() && !self.upstreams.is_empty()
     }
 
-    /// The other entries and this one, as far as they are listed.
+    /// The other entries and this one; those come last that are no longer listed, for a list may
+    /// have lost entries that live.
     pub fn members(&self) -> impl Iterator<Item = (&str, &Member)> {
-        self.members
-            .iter()
-            .filter(|(_, held)| held.gone.is_none())
-            .map(|(name, held)| (name.as_str(), &held.member))
+        let listed = self.members.iter().filter(|(_, held)| held.gone.is_none());
+        let missing = self.members.iter().filter(|(_, held)| held.gone.is_some());
+        listed.chain(missing).map(|(name, held)| (name.as_str(), &held.member))
     }
 
     /// When the table changes by time alone, if it does.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,37 +1,28 @@
 //! The control state: what is believed, what the traffic thread is told, and readiness.
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender};
 use std::time::Duration;
 
 use directory::{Directory, Record};
+use health::Reach;
 use kameo::Actor;
 use kameo::message::{Context, Message};
+use peer_proto::v1;
 use stdx::time::{Clock, Timestamp};
+use steer::Table;
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
 use crate::narrate::Narrator;
-use crate::traffic::{Command, Report};
+use crate::traffic::{Command, Report, Silence};
 
 /// Time between looks at the traffic thread's reports.
 pub const TICK: Duration = Duration::from_millis(250);
 
-/// Time without an upstream that answers before this entry says that it can't serve; a few
-/// openings may be lost by chance.
-const UNABLE_AFTER: Duration = Duration::from_millis(300);
-
-/// Time after which an entry that could not serve lets clients try it again, at first; it doubles
-/// each time that they fail.
-const UNABLE_HOLD: Duration = Duration::from_secs(2);
-
-/// Doublings of that time at most.
-const UNABLE_DOUBLINGS: u32 = 2;
-
-/// Time of serving after which the next failure counts as the first.
-const UNABLE_FORGET: Duration = Duration::from_secs(20);
-
 stdx::value! {
-    /// Everything was read from the store; the records stand in the message's field.
+    /// Whether packets of clients are wanted here.
     pub enum Readiness {
         /// The table is not there yet.
         Starting,
@@ -68,6 +59,19 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Leave;
 
+/// Another entry has answered.
+#[derive(Debug, Clone, Copy)]
+pub struct Pong {
+    /// The other entry.
+    pub from: SocketAddrV4,
+    /// The number of the question.
+    pub nonce: u64,
+}
+
+/// Time to ask silent zones again.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask;
+
 /// The state of the control thread.
 #[derive(Debug, Actor)]
 pub struct Control {
@@ -79,10 +83,9 @@
     ready: watch::Sender<Readiness>,
     narrator: Narrator,
     leaving: bool,
-    unable_since: Option<Timestamp>,
-    hold_until: Option<Timestamp>,
-    holds: u32,
-    last_hold: Timestamp,
+    reach: Reach,
+    table: Arc<Table>,
+    socket: Arc<UdpSocket>,
 }
 
 impl Control {
@@ -94,6 +97,7 @@
         commands: Sender<Command>,
         reports: Receiver<Report>,
         ready: watch::Sender<Readiness>,
+        socket: Arc<UdpSocket>,
     ) -> Self {
         Self {
             clock,
@@ -104,10 +108,9 @@
             ready,
             narrator: Narrator::new(),
             leaving: false,
-            unable_since: None,
-            hold_until: None,
-            holds: 0,
-            last_hold: Timestamp::default(),
+            reach: Reach::default(),
+            table: Arc::new(Table::default()),
+            socket,
         }
     }
 
@@ -116,6 +119,7 @@
         self.narrator.on_table(&table, &shift);
         let table = Arc::new(table);
         self.narrator.set_table(Arc::clone(&table));
+        self.table = Arc::clone(&table);
         if self.commands.send(Command::Table(table)).is_err() {
             tracing::error!("the traffic thread is gone");
         }
@@ -127,7 +131,6 @@
             match report {
                 Report::Decision(at, event) => self.narrator.on_event(at, &event),
                 Report::Counts(counts) => self.narrator.on_counts(&counts),
-                Report::Unable(since) => self.unable_since = since,
             }
         }
         self.narrator.on_tick(now);
@@ -150,21 +153,21 @@
         if !self.directory.is_synced() {
             return Readiness::Starting;
         }
-        if self.hold_until.is_some_and(|until| now < until) {
-            return Readiness::Unable;
-        }
-        self.hold_until = None;
-        if self.unable_since.is_none_or(|since| now.since(since) < UNABLE_AFTER) {
-            return Readiness::Ready;
-        }
-        if now.since(self.last_hold) > UNABLE_FORGET {
-            self.holds = 0;
+        if self.reach.serves(now) { Readiness::Ready } else { Readiness::Unable }
+    }
+
+    /// Asks entries of silent zones whether they can be reached.
+    fn ask_around(&mut self, now: Timestamp) {
+        let own = self.name.as_str();
+        let members = self.directory.members().filter(|(name, _)| *name != own);
+        let members: Vec<(&str, SocketAddrV4)> =
+            members.map(|(_, member)| (member.zone.as_str(), member.addr)).collect();
+        for ping in self.reach.pings(now, &members) {
+            let bytes = peer_proto::encode_reach(v1::reach::Kind::Ping(ping.nonce));
+            if let Err(e) = self.socket.try_send_to(&bytes, ping.to.into()) {
+                tracing::debug!(error = %e, to = %ping.to, "ping not sent");
+            }
         }
-        self.hold_until = Some(now + UNABLE_HOLD * 2_u32.pow(self.holds.min(UNABLE_DOUBLINGS)));
-        self.holds += 1;
-        self.last_hold = now;
-        self.unable_since = None;
-        Readiness::Unable
     }
 }
 
@@ -221,6 +224,49 @@
     }
 }
 
+impl Message<Silence> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Silence, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        let is_silent = |place: usize| msg.zones & (1 << place.min(63)) != 0;
+        let zones = self.table.zones.iter().enumerate();
+        let silent: Vec<&str> =
+            zones.filter(|(place, _)| is_silent(*place)).map(|(_, zone)| zone.as_str()).collect();
+        self.reach.on_traffic(&silent, msg.unable_since);
+        self.ask_around(now);
+        self.show_readiness(now);
+    }
+}
+
+impl Message<Pong> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Pong, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        let Some(zone) = self.reach.on_pong(now, msg.from, msg.nonce) else {
+            metrics::counter!("ibis_peer_answers_unasked_total").increment(1);
+            return;
+        };
+        tracing::info!(zone, from = %msg.from, "zone can be reached");
+        if self.commands.send(Command::ZoneAnswers(zone.to_owned())).is_err() {
+            tracing::error!("the traffic thread is gone");
+        }
+    }
+}
+
+impl Message<Ask> for Control {
+    type Reply = bool;
+
+    /// Returns whether there is more to ask soon.
+    async fn handle(&mut self, _: Ask, _: &mut Context<Self, bool>) -> bool {
+        let now = self.clock.now();
+        self.ask_around(now);
+        self.show_readiness(now);
+        self.reach.is_asking()
+    }
+}
+
 impl Message<Leave> for Control {
     type Reply = ();
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod held;
 pub mod logs;
 pub mod narrate;
+pub mod peers;
 pub mod traffic;
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -6,24 +6,22 @@
 
 use stdx::time::Timestamp;
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
-use tracing_subscriber::EnvFilter;
+use tracing_subscriber::filter::LevelFilter;
 
 /// Lines that may wait for a slow reader.
 const LINES_MAX: usize = 2_000;
 
-/// Starts logging. Lines are written until the guard is dropped. A filter that can't be read is
-/// replaced by `info`.
+/// Starts logging at `level`. Lines are written until the guard is dropped.
 #[must_use]
-pub fn start(filter: &str) -> WorkerGuard {
+pub fn start(level: LevelFilter) -> WorkerGuard {
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(LINES_MAX)
         .finish(std::io::stdout());
-    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_invalid| EnvFilter::new("info"));
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
-        .with_env_filter(filter)
+        .with_max_level(level)
         .with_target(false)
         .with_writer(writer)
         .init();
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -11,7 +11,8 @@
 use rustix::event::{PollFd, PollFlags, Timespec};
 use stdx::time::{Clock, Timestamp};
 use steer::engine::Drop;
-use steer::{Action, Engine, Event, Packet, Raw, Stats, Table, Token, UpstreamId};
+use steer::{Action, Engine, Event, Packet, Raw, Stats, Table, Token, UpstreamId, ZoneId};
+use tokio::sync::watch;
 
 use crate::held::Held;
 
@@ -51,6 +52,8 @@
     Table(Arc<Table>),
     /// The table may be old: packets that open flows wait for the next one.
     Distrust,
+    /// A zone can be reached, as its entries say.
+    ZoneAnswers(String),
     /// Stop.
     Stop,
 }
@@ -62,8 +65,17 @@
     Decision(Timestamp, Event),
     /// Counts since the start.
     Counts(Counts),
-    /// Since when some service has no upstream that answers; `None` if all have.
-    Unable(Option<Timestamp>),
+}
+
+stdx::value! {
+    /// What openings tell of zones.
+    #[derive(Default)]
+    pub struct Silence {
+        /// A bit for each zone of the table in which nothing answers.
+        pub zones: u64,
+        /// Since when some service has no upstream that answers; `None` if all have.
+        pub unable_since: Option<Timestamp>,
+    }
 }
 
 /// Counts since the start.
@@ -119,6 +131,8 @@
     pub commands: Sender<Command>,
     /// Its reports.
     pub reports: Receiver<Report>,
+    /// What openings tell of zones, as it changes.
+    pub silence: watch::Receiver<Silence>,
     /// The thread itself.
     pub thread: JoinHandle<io::Result<()>>,
 }
@@ -133,10 +147,11 @@
     socket.set_nonblocking(true)?;
     let (commands, inbox) = mpsc::channel();
     let (tx, reports) = mpsc::sync_channel(REPORTS_MAX);
-    let lane = Lane::new(cfg, socket, clock, tx);
+    let (silence_tx, silence) = watch::channel(Silence::default());
+    let lane = Lane::new(cfg, socket, clock, tx, silence_tx);
     let thread =
         thread::Builder::new().name("traffic".to_owned()).spawn(move || lane.run(&inbox))?;
-    Ok(Handle { commands, reports, thread })
+    Ok(Handle { commands, reports, silence, thread })
 }
 
 struct Lane {
@@ -149,12 +164,18 @@
     counts: Counts,
     distrusted: bool,
     last_report: Timestamp,
-    last_unable: Option<Timestamp>,
+    silence: watch::Sender<Silence>,
     last_turn: Timestamp,
 }
 
 impl Lane {
-    fn new(cfg: Config, socket: UdpSocket, clock: Clock, reports: SyncSender<Report>) -> Self {
+    fn new(
+        cfg: Config,
+        socket: UdpSocket,
+        clock: Clock,
+        reports: SyncSender<Report>,
+        silence: watch::Sender<Silence>,
+    ) -> Self {
         let now = clock.now();
         Self {
             engine: Engine::new(now, cfg.engine),
@@ -166,7 +187,7 @@
             counts: Counts::default(),
             distrusted: false,
             last_report: now,
-            last_unable: None,
+            silence,
             last_turn: now,
         }
     }
@@ -276,6 +297,7 @@
                 self.distrusted = false;
                 self.replay(now);
             }
+            Command::ZoneAnswers(zone) => self.engine.zone_answers(now, &zone),
             Command::Distrust => self.distrusted = true,
             Command::Stop => return false,
         }
@@ -320,10 +342,15 @@
             }
         }
         self.counts.reports_lost += lost;
-        let unable = self.engine.unable_since();
-        if unable != self.last_unable && self.reports.try_send(Report::Unable(unable)).is_ok() {
-            self.last_unable = unable;
-        }
+        self.silence.send_if_modified(|known| {
+            let silence = Silence {
+                zones: self.engine.silent_zones().fold(0, |bits, zone| bits | zone_bit(zone)),
+                unable_since: self.engine.unable_since(),
+            };
+            let changed = *known != silence;
+            *known = silence;
+            changed
+        });
         if now.since(self.last_report) < REPORT_EVERY {
             return;
         }
@@ -337,6 +364,11 @@
     }
 }
 
+/// The bit of a zone; zones beyond the bits share the last one.
+fn zone_bit(zone: ZoneId) -> u64 {
+    1 << u32::from(zone.0).min(u64::BITS - 1)
+}
+
 /// Whether an error of a socket says nothing about the socket.
 fn is_passing(e: &io::Error) -> bool {
     matches!(
--- a/crates/peer-proto/src/lib.rs
+++ b/crates/peer-proto/src/lib.rs
@@ -33,6 +33,20 @@
     Ok(v1::Datagram::decode(bytes)?.kind)
 }
 
+/// The bytes of a question or answer between entries that steer by tokens.
+pub fn encode_reach(kind: v1::reach::Kind) -> Vec<u8> {
+    v1::Reach { kind: Some(kind) }.encode_to_vec()
+}
+
+/// Reads a question or answer; `None` for a kind that this version does not know.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not such a message.
+pub fn decode_reach(bytes: &[u8]) -> Result<Option<v1::reach::Kind>, Malformed> {
+    Ok(v1::Reach::decode(bytes)?.kind)
+}
+
 /// The bytes of a control message.
 pub fn encode_control(kind: v1::control::Kind) -> Vec<u8> {
     v1::Control { kind: Some(kind) }.encode_to_vec()
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -253,6 +253,18 @@
         worst
     }
 
+    /// Zones in which nothing answers.
+    pub fn silent_zones(&self) -> impl Iterator<Item = ZoneId> + '_ {
+        self.zones.iter().filter(|(_, zone)| zone.silent_since.is_some()).map(|(id, _)| *id)
+    }
+
+    /// Notes that a zone can be reached, from elsewhere than openings.
+    pub fn zone_answers(&mut self, now: Timestamp, table: &Table, zone: ZoneId) {
+        if self.zones.swap_remove(&zone).is_some() {
+            self.forgive(now, table, zone);
+        }
+    }
+
     /// Open flows that this entry counts at an upstream.
     pub fn open_flows(&self, id: UpstreamId) -> u32 {
         self.upstreams.get(&id).map_or(0, |state| state.open)
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -275,6 +275,19 @@
         self.choices.unable_since(&self.table)
     }
 
+    /// Zones in which nothing answers.
+    pub fn silent_zones(&self) -> impl Iterator<Item = ZoneId> + '_ {
+        self.choices.silent_zones()
+    }
+
+    /// Notes that a zone can be reached, from elsewhere than openings.
+    pub fn zone_answers(&mut self, now: Timestamp, zone: &str) {
+        let place = self.table.zones.iter().position(|name| name == zone);
+        if let Some(place) = place {
+            self.choices.zone_answers(now, &self.table, ZoneId(place as u16));
+        }
+    }
+
     /// What was counted.
     pub fn stats(&self) -> Stats {
         self.stats
