Read the own backlog before silence is counted against upstreams

Ruled out: lost packets (accepted follows openings within a second). Change: commands, then packets, then timers; while packets wait, openings that are due are put off.

--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -199,13 +199,15 @@
             let now = self.clock.now();
             self.counts.loop_gap_us =
                 self.counts.loop_gap_us.max(now.since(self.last_turn).as_micros() as u64);
-            self.receive(now, &mut buf)?;
+            // Commands first: kept packets take time, and answers that come meanwhile are read
+            // before timers run.
             while let Ok(command) = inbox.try_recv() {
                 if !self.on_command(command) {
                     return Ok(());
                 }
             }
-            self.run_timers();
+            let behind = self.receive(&mut buf)?;
+            self.run_timers(behind);
             self.report();
             self.last_turn = self.clock.now();
         }
@@ -223,17 +225,18 @@
         }
     }
 
-    fn receive(&mut self, now: Timestamp, buf: &mut [u8]) -> io::Result<()> {
+    /// Reads a batch of packets. Returns whether more may be waiting.
+    fn receive(&mut self, buf: &mut [u8]) -> io::Result<bool> {
         for _ in 0..BATCH {
             match self.socket.recv(&mut buf[FRAME_LEN..]) {
-                Ok(len) => self.on_datagram(now, buf, len),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Ok(len) => self.on_datagram(self.clock.now(), buf, len),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
                 // An answer of the network to an earlier packet, or a signal; the socket is fine.
                 Err(e) if is_passing(&e) => {}
                 Err(e) => return Err(e),
             }
         }
-        Ok(())
+        Ok(true)
     }
 
     /// Handles the packet in `buf` behind the room for the frame.
@@ -295,7 +298,7 @@
             Command::Table(table) => {
                 self.engine.apply(now, table, &self.cfg.zone);
                 self.distrusted = false;
-                self.replay(now);
+                self.replay();
             }
             Command::ZoneAnswers(zone) => self.engine.zone_answers(now, &zone),
             Command::Distrust => self.distrusted = true,
@@ -305,20 +308,20 @@
     }
 
     /// Handles packets that were kept, if the table is there by now.
-    fn replay(&mut self, now: Timestamp) {
+    fn replay(&mut self) {
         if !self.engine.table().synced {
             return;
         }
         let mut buf = [0_u8; FRAME_LEN + DATAGRAM_MAX];
-        while let Some(packet) = self.held.pop(now) {
+        while let Some(packet) = self.held.pop(self.clock.now()) {
             buf[FRAME_LEN..FRAME_LEN + packet.len()].copy_from_slice(&packet);
-            self.on_datagram(now, &mut buf, packet.len());
+            self.on_datagram(self.clock.now(), &mut buf, packet.len());
         }
     }
 
-    fn run_timers(&mut self) {
+    fn run_timers(&mut self, behind: bool) {
         let now = self.clock.now();
-        while let Some((hop, raw)) = self.engine.on_timer(now) {
+        while let Some((hop, raw)) = self.engine.on_timer(now, behind) {
             self.send_again(hop.upstream, hop.token, hop.addr, &raw);
         }
     }
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -229,9 +229,11 @@
     }
 
     /// The next opening packet that has to be sent to a further upstream, if one is due.
-    pub fn on_timer(&mut self, now: Timestamp) -> Option<(Hop, Raw)> {
-        // After a stall the answers are waiting to be read; silence is counted from here.
-        let stalled = now.since(self.last_look) > self.cfg.stall;
+    ///
+    /// `behind` says that packets are waiting to be read. Then, and after a stall, answers may be
+    /// among them, and silence is counted from here.
+    pub fn on_timer(&mut self, now: Timestamp, behind: bool) -> Option<(Hop, Raw)> {
+        let stalled = behind || now.since(self.last_look) > self.cfg.stall;
         self.last_look = now;
         while let Some(Reverse((due, flow))) = self.timers.peek().copied() {
             if due > now {
