Record metrics without measuring the processor's clock at start

Ruled out: dynamic linking and page faults (0.2 million instructions). Change: node::exposition, a small recorder behind the same metrics facade. Entries also begin with different upstreams when they start together.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! look on the wire and where facts come from is given by the program.
 
 pub mod control;
+pub mod exposition;
 pub mod held;
 pub mod logs;
 pub mod narrate;
--- a/crates/node/src/narrate.rs
+++ b/crates/node/src/narrate.rs
@@ -6,7 +6,7 @@
 use directory::Shift;
 use metrics::{counter, gauge, histogram};
 use stdx::time::Timestamp;
-use steer::{Event, FlowKey, Table, UpstreamId, ZoneId};
+use steer::{Event, FlowKey, Refusal, Table, UpstreamId, ZoneId};
 
 use crate::logs::Limit;
 use crate::traffic::Counts;
@@ -110,11 +110,17 @@
                 }
             }
             Event::Refused { flow, reason } => {
-                counter!("ibis_refusals_total", "reason" => format!("{reason:?}")).increment(1);
+                counter!("ibis_refusals_total", "reason" => reason_name(*reason)).increment(1);
                 if self.refused.allow(at) {
                     let version = self.table.version;
                     let flow = name(flow);
-                    tracing::warn!(at = at.as_micros(), flow, ?reason, version, "opening refused");
+                    tracing::warn!(
+                        at = at.as_micros(),
+                        flow,
+                        reason = reason_name(*reason),
+                        version,
+                        "opening refused"
+                    );
                 }
             }
             Event::ResetOpen { flow, upstream } => {
@@ -222,6 +228,14 @@
     }
 }
 
+fn reason_name(reason: Refusal) -> &'static str {
+    match reason {
+        Refusal::NoRoute => "no_route",
+        Refusal::NoneEligible => "none_eligible",
+        Refusal::AllAtLimit => "all_at_limit",
+    }
+}
+
 /// The name of a flow in logs: both ends.
 fn name(flow: &FlowKey) -> String {
     format!("{}>{}", flow.client, flow.service)
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -35,12 +35,16 @@
 /// Part of the cold limit that is used; the rest covers packets that bunch up on their way.
 const COLD_MARGIN: f64 = 0.8;
 
+/// Places of upstreams that were never picked.
+const ORDERS: u64 = 1 << 20;
+
 /// What one entry knows of all upstreams from its own openings.
 #[derive(Debug, Clone)]
 pub struct Choices {
     own_zone: Option<ZoneId>,
     /// Time after its return during which an upstream may be cold without its record saying so.
     settle: Duration,
+    seed: u64,
     upstreams: IndexMap<UpstreamId, State>,
     zones: IndexMap<ZoneId, ZoneState>,
     picks: u64,
@@ -99,13 +103,14 @@
 
 impl Choices {
     /// Knows nothing yet.
-    pub fn new(settle: Duration) -> Self {
+    pub fn new(settle: Duration, seed: u64) -> Self {
         Self {
             own_zone: None,
             settle,
+            seed,
             upstreams: IndexMap::new(),
             zones: IndexMap::new(),
-            picks: 0,
+            picks: ORDERS,
         }
     }
 
@@ -114,9 +119,10 @@
         self.own_zone = own_zone;
         self.upstreams.retain(|id, _| table.upstreams.contains_key(id));
         for (id, upstream) in &table.upstreams {
-            let state = self.upstreams.entry(*id).or_insert_with(|| State::new(now, upstream));
+            let fresh = || State::new(now, upstream, order(self.seed, *id));
+            let state = self.upstreams.entry(*id).or_insert_with(fresh);
             if upstream.started_ms.is_some() && state.started_ms != upstream.started_ms {
-                *state = State::new(now, upstream);
+                *state = fresh();
             }
         }
     }
@@ -314,12 +320,17 @@
     }
 }
 
+/// The place of an upstream that was never picked, before all that were.
+fn order(seed: u64, id: UpstreamId) -> u64 {
+    (id.0 ^ seed).wrapping_mul(0x9E37_79B9_7F4A_7C15) % ORDERS
+}
+
 impl State {
-    fn new(now: Timestamp, upstream: &Upstream) -> Self {
+    fn new(now: Timestamp, upstream: &Upstream, last_pick: u64) -> Self {
         Self {
             started_ms: upstream.started_ms,
             open: 0,
-            last_pick: 0,
+            last_pick,
             strikes: 0,
             avoid_until: Timestamp::default(),
             unproven_until: Timestamp::default(),
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -54,6 +54,9 @@
         /// Time after its return during which an upstream may be cold without its record saying
         /// so.
         pub settle: Duration,
+        /// Another number at each entry, so that entries that start together do not all begin with
+        /// the same upstream.
+        pub seed: u64,
     }
 
     /// What to do with a packet.
@@ -206,7 +209,7 @@
             cfg,
             table: Arc::new(Table::default()),
             tokens: IndexMap::new(),
-            choices: Choices::new(cfg.settle),
+            choices: Choices::new(cfg.settle, cfg.seed),
             openings: Openings::new(cfg.openings),
             timers: BinaryHeap::new(),
             opening_time: OpeningTime::default(),
