--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddrV4, UdpSocket};
 use std::os::fd::AsFd;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender, SyncSender, TrySendError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -131,6 +132,8 @@
     pub commands: Sender<Command>,
     /// Its reports.
     pub reports: Receiver<Report>,
+    /// Packets that came, for who wants to know whether they still do.
+    pub received: Arc<AtomicU64>,
     /// What openings tell of zones, as it changes.
     pub silence: watch::Receiver<Silence>,
     /// The thread itself.
@@ -149,9 +152,10 @@
     let (tx, reports) = mpsc::sync_channel(REPORTS_MAX);
     let (silence_tx, silence) = watch::channel(Silence::default());
     let lane = Lane::new(cfg, socket, clock, tx, silence_tx);
+    let received = Arc::clone(&lane.received);
     let thread =
         thread::Builder::new().name("traffic".to_owned()).spawn(move || lane.run(&inbox))?;
-    Ok(Handle { commands, reports, silence, thread })
+    Ok(Handle { commands, reports, received, silence, thread })
 }
 
 struct Lane {
@@ -164,6 +168,7 @@
     counts: Counts,
     distrusted: bool,
     last_report: Timestamp,
+    received: Arc<AtomicU64>,
     silence: watch::Sender<Silence>,
     last_turn: Timestamp,
 }
@@ -187,6 +192,7 @@
             counts: Counts::default(),
             distrusted: false,
             last_report: now,
+            received: Arc::default(),
             silence,
             last_turn: now,
         }
@@ -207,6 +213,7 @@
                 }
             }
             let behind = self.receive(&mut buf)?;
+            self.received.store(self.counts.received, Ordering::Relaxed);
             self.run_timers(behind);
             self.report();
             self.last_turn = self.clock.now();
