--- a/crates/directory/src/believed.rs
+++ b/crates/directory/src/believed.rs
@@ -177,6 +177,11 @@
         }
     }
 
+    /// Takes over changed settings.
+    pub fn reconfigure(&mut self, cfg: Settings) {
+        self.cfg = cfg;
+    }
+
     /// Notes that the store does not answer.
     pub fn store_lost(&mut self) {
         self.doubt = Doubt::Away;
@@ -239,6 +244,7 @@
             let upstream = self.upstream(now, *id, held, &mut service_ids, &mut table);
             table.upstreams.insert(*id, upstream);
         }
+        table.own = number(own_name);
         table.entries = self.entries(now, own_name);
         let shift = Shift {
             version_before: self.last.version,
@@ -246,7 +252,7 @@
             eligible_before: self.last.eligible,
             eligible: table.upstreams.values().filter(|upstream| upstream.takes_new).count(),
             zones_out: self.zones_out.len(),
-            entries: table.entries,
+            entries: table.entries.len() as u32,
         };
         self.last = shift;
         (table, shift)
@@ -335,13 +341,13 @@
         }
     }
 
-    fn entries(&self, now: Timestamp, own_name: &str) -> u32 {
+    /// The entries that may be opening flows; one that is gone counts for a while.
+    fn entries(&self, now: Timestamp, own_name: &str) -> Vec<u64> {
         let counts = |held: &HeldMember| {
             held.gone.is_none_or(|since| now.since(since) < self.cfg.member_hold)
         };
-        let others =
-            self.members.iter().filter(|(name, held)| *name != own_name && counts(held)).count();
-        others as u32 + 1
+        let others = self.members.iter().filter(|(name, held)| *name != own_name && counts(held));
+        others.map(|(name, _)| number(name)).chain([number(own_name)]).collect()
     }
 
     fn forget(&mut self, now: Timestamp) {
@@ -356,6 +362,13 @@
     }
 }
 
+/// The number of an entry: FNV-1a of its name, the same at all entries.
+fn number(name: &str) -> u64 {
+    name.bytes().fold(0xCBF2_9CE4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01B3)
+    })
+}
+
 /// The place of a service in the table; it is added if it is not there.
 fn service_id(
     ids: &mut IndexMap<String, ServiceId>,
@@ -368,11 +381,10 @@
         return *id;
     }
     let over = f64::from(cfg.cold_over_milli) / 1000.0;
-    table.services.push(Service {
-        name: name.to_owned(),
-        cold_opens_per_s: spec.map_or(0.0, |spec| spec.cold_opens_per_s) * over,
-        cold_burst: f64::from(cfg.cold_burst),
-    });
+    let rate = spec.map_or(0.0, |spec| spec.cold_opens_per_s) * over;
+    table
+        .services
+        .push(Service { name: name.to_owned(), cold_opens: rate as u32 + cfg.cold_burst });
     let id = ServiceId((table.services.len() - 1) as u16);
     ids.insert(name.to_owned(), id);
     id
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -127,6 +127,11 @@
         self.lost_since
     }
 
+    /// Takes over another pace.
+    pub fn set_pace(&mut self, pace: Pace) {
+        self.pace = pace;
+    }
+
     /// The pace of its calls.
     pub fn pace(&self) -> Pace {
         self.pace
--- /dev/null
+++ b/crates/directory/tests/believed.rs
@@ -0,0 +1,303 @@
+//! What is believed when the store says this or that, or nothing.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use directory::{
+    Config, Directory, Fact, Member, Record, RouteSpec, ServiceSpec, Settings, Subject,
+    UpstreamSpec,
+};
+use proptest::prelude::*;
+use stdx::time::Timestamp;
+use steer::{Table, Upstream, UpstreamId};
+
+const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+fn settings() -> Settings {
+    Settings {
+        relist: Duration::from_secs(2),
+        remember: Duration::from_secs(60),
+        member_hold: Duration::from_secs(4),
+        cold_burst: 5,
+        cold_over_milli: 1_500,
+    }
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn config(revision: u64, version: u64, service: Option<&str>) -> Record {
+    let service_spec = |name: &str| ServiceSpec {
+        name: name.to_owned(),
+        cold: Duration::from_secs(2),
+        cold_opens_per_s: 4.0,
+    };
+    let route = |name: &str| RouteSpec { addr: ROUTE, targets: vec![(name.to_owned(), 1)] };
+    let fact = Fact::Config(Config {
+        version,
+        routes: service.map(route).into_iter().collect(),
+        services: ["orders", "menus"].map(service_spec).to_vec(),
+    });
+    Record { subject: Subject::Config, revision, created: 1, fact: Some(fact) }
+}
+
+fn spec(id: u64) -> UpstreamSpec {
+    UpstreamSpec {
+        id: UpstreamId(id),
+        service: "orders".to_owned(),
+        addr: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, id as u8), 80),
+        zone: if id % 2 == 0 { "a" } else { "b" }.to_owned(),
+        leaving: false,
+        cold_left: Duration::ZERO,
+        started_ms: Some(7),
+    }
+}
+
+fn upstream(revision: u64, spec: UpstreamSpec) -> Record {
+    let subject = Subject::Upstream(spec.id);
+    Record { subject, revision, created: spec.id.0, fact: Some(Fact::Upstream(spec)) }
+}
+
+fn removed(revision: u64, subject: Subject) -> Record {
+    Record { subject, revision, created: 0, fact: None }
+}
+
+fn zone_out(revision: u64, zone: &str) -> Record {
+    let subject = Subject::ZoneOut(zone.to_owned());
+    Record { subject, revision, created: revision, fact: Some(Fact::ZoneOut) }
+}
+
+fn all() -> Vec<Record> {
+    let mut records = vec![config(10, 5, Some("orders"))];
+    records.extend((1..5).map(|id| upstream(id, spec(id))));
+    records
+}
+
+fn loaded() -> Directory {
+    let mut directory = Directory::new(settings());
+    directory.load(at(0), all());
+    directory
+}
+
+fn table(directory: &mut Directory, now: Timestamp) -> Table {
+    directory.table(now, "me").0
+}
+
+fn entry(table: &Table, id: u64) -> &Upstream {
+    &table.upstreams[&UpstreamId(id)]
+}
+
+fn eligible(directory: &mut Directory, now: Timestamp) -> Vec<u64> {
+    let table = table(directory, now);
+    table.upstreams.values().filter(|u| u.takes_new).map(|u| u.id.0).collect()
+}
+
+#[test]
+fn load_makes_table() {
+    let mut directory = loaded();
+    let table = table(&mut directory, at(0));
+    assert!(table.synced);
+    assert_eq!((table.version, table.upstreams.len()), (5, 4));
+    assert_eq!(table.services[usize::from(entry(&table, 1).service.0)].cold_opens, 4 * 3 / 2 + 5);
+}
+
+/// The first day that was played: the configuration came by a change, after an empty load.
+#[test]
+fn apply_after_empty_load_is_synced() {
+    let mut directory = Directory::new(settings());
+    directory.load(at(0), Vec::new());
+    assert!(!directory.is_synced());
+    for record in all() {
+        directory.apply(at(1), record);
+    }
+    assert!(table(&mut directory, at(1)).synced);
+}
+
+#[test]
+fn apply_older_version_changes_nothing() {
+    let mut directory = loaded();
+    directory.apply(at(1), config(11, 4, Some("menus")));
+    directory.load(at(2), {
+        let mut records = all();
+        records[0] = config(12, 3, None);
+        records
+    });
+    let table = table(&mut directory, at(2));
+    assert_eq!((table.version, table.routes.len()), (5, 1));
+}
+
+#[test]
+fn apply_route_moved_remembers_old_service() {
+    let mut directory = loaded();
+    directory.apply(at(1), config(11, 6, Some("menus")));
+    let table = table(&mut directory, at(1));
+    assert_eq!(table.routes[&ROUTE].ever.len(), 2);
+    assert_eq!(table.routes[&ROUTE].targets.len(), 1);
+}
+
+#[test]
+fn apply_route_dropped() {
+    let mut directory = loaded();
+    directory.apply(at(1), config(11, 6, None));
+    let table = table(&mut directory, at(1));
+    assert!(table.routes.is_empty() && table.dropped.contains(&ROUTE));
+}
+
+#[test]
+fn apply_leaving_takes_nothing_new() {
+    let mut directory = loaded();
+    directory.apply(at(1), upstream(20, UpstreamSpec { leaving: true, ..spec(2) }));
+    assert_eq!(eligible(&mut directory, at(1)), [1, 3, 4]);
+}
+
+#[test]
+fn apply_removed_after_leaving_has_ended() {
+    let mut directory = loaded();
+    directory.apply(at(1), upstream(20, UpstreamSpec { leaving: true, ..spec(2) }));
+    directory.apply(at(2), removed(21, Subject::Upstream(UpstreamId(2))));
+    assert!(entry(&table(&mut directory, at(2)), 2).ended);
+}
+
+#[test]
+fn apply_removed_without_leaving_may_live() {
+    let mut directory = loaded();
+    directory.apply(at(2), removed(21, Subject::Upstream(UpstreamId(2))));
+    let table = table(&mut directory, at(2));
+    assert!(!entry(&table, 2).ended && !entry(&table, 2).takes_new);
+}
+
+#[test]
+fn apply_removal_older_than_record() {
+    let mut directory = loaded();
+    directory.apply(at(1), upstream(30, spec(2)));
+    directory.apply(at(2), removed(21, Subject::Upstream(UpstreamId(2))));
+    assert_eq!(eligible(&mut directory, at(2)), [1, 2, 3, 4]);
+}
+
+#[test]
+fn load_without_outage_removes_at_once() {
+    let mut directory = loaded();
+    directory.load(at(5), all().into_iter().take(3).collect());
+    assert_eq!(eligible(&mut directory, at(5)), [1, 2]);
+}
+
+#[test]
+fn load_after_outage_keeps_lapsed_for_a_while() {
+    let mut directory = loaded();
+    directory.store_lost();
+    directory.load(at(5_000), vec![config(10, 5, Some("orders"))]);
+    assert_eq!(eligible(&mut directory, at(6_900)), [1, 2, 3, 4]);
+    assert_eq!(directory.next_change(), Some(at(7_000)));
+    assert_eq!(eligible(&mut directory, at(7_000)), []);
+    assert!(!entry(&table(&mut directory, at(7_001)), 2).ended, "a lapse is no proof of an end");
+}
+
+#[test]
+fn load_after_outage_listed_again() {
+    let mut directory = loaded();
+    directory.store_lost();
+    directory.load(at(5_000), vec![config(10, 5, Some("orders"))]);
+    directory.apply(at(6_000), upstream(40, spec(3)));
+    assert_eq!(eligible(&mut directory, at(7_000)), [3]);
+}
+
+#[test]
+fn load_after_outage_leaving_stays_out() {
+    let mut directory = loaded();
+    directory.apply(at(1), upstream(20, UpstreamSpec { leaving: true, ..spec(2) }));
+    directory.store_lost();
+    directory.load(at(5_000), vec![config(10, 5, Some("orders"))]);
+    assert_eq!(eligible(&mut directory, at(5_001)), [1, 3, 4]);
+}
+
+#[test]
+fn zone_out_and_back() {
+    let mut directory = loaded();
+    directory.apply(at(1), zone_out(20, "a"));
+    assert_eq!(eligible(&mut directory, at(1)), [1, 3]);
+    directory.apply(at(9_000), removed(21, Subject::ZoneOut("a".to_owned())));
+    let table = table(&mut directory, at(9_000));
+    assert!(entry(&table, 2).takes_new);
+    assert_eq!(entry(&table, 2).cold_until, at(11_000), "a zone that is back is cold");
+    assert_eq!(entry(&table, 1).cold_until, Timestamp::default());
+}
+
+#[test]
+fn zone_back_while_history_was_gone() {
+    let mut directory = loaded();
+    directory.apply(at(1), zone_out(20, "a"));
+    directory.load(at(9_000), all());
+    assert_eq!(eligible(&mut directory, at(9_000)), [1, 2, 3, 4]);
+}
+
+#[test]
+fn cold_is_counted_from_the_first_look() {
+    let mut directory = loaded();
+    let cold = UpstreamSpec { cold_left: Duration::from_secs(3), ..spec(2) };
+    directory.apply(at(0), upstream(20, cold.clone()));
+    let mut records = all();
+    records[2] = upstream(20, cold);
+    directory.load(at(2_000), records);
+    assert_eq!(entry(&table(&mut directory, at(2_000)), 2).cold_until, at(3_000));
+}
+
+#[test]
+fn apply_unreadable_record_names_nothing_to_use() {
+    let mut directory = loaded();
+    directory.apply(at(1), removed(20, Subject::Upstream(UpstreamId(2))));
+    directory.apply(at(1), removed(20, Subject::Config));
+    assert_eq!(eligible(&mut directory, at(1)), [1, 3, 4]);
+    assert_eq!(table(&mut directory, at(1)).version, 5);
+}
+
+#[test]
+fn members_count_for_a_while() {
+    let mut directory = loaded();
+    let member = |name: &str, revision| {
+        let addr = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
+        let member = Member { addr, zone: "a".to_owned(), incarnation: 1 };
+        let subject = Subject::Member(name.to_owned());
+        Record { subject, revision, created: 1, fact: Some(Fact::Member(member)) }
+    };
+    directory.apply(at(0), member("me", 30));
+    directory.apply(at(0), member("other", 31));
+    assert_eq!(table(&mut directory, at(0)).entries.len(), 2);
+    directory.apply(at(10), removed(32, Subject::Member("other".to_owned())));
+    assert_eq!(table(&mut directory, at(4_000)).entries.len(), 2, "it may still be opening flows");
+    assert_eq!(table(&mut directory, at(4_011)).entries.len(), 1);
+}
+
+proptest! {
+    /// In whatever order changes and loads come, the version never goes back, and what is leaving or
+    /// out of service takes no new flows.
+    #[test]
+    fn apply_any(steps in proptest::collection::vec((0_u8..8, 1_u64..5, 1_u64..60), 1..100)) {
+        let mut directory = loaded();
+        let (mut now, mut version) = (at(0), 5);
+        let mut revision = 100;
+        for (kind, id, number) in steps {
+            now = now + Duration::from_millis(number * 50);
+            revision += 1;
+            match kind {
+                0 => directory.apply(now, config(revision, number, Some("menus"))),
+                1 => directory.apply(now, upstream(revision, spec(id))),
+                2 => directory.apply(now, upstream(revision, UpstreamSpec { leaving: true, ..spec(id) })),
+                3 => directory.apply(now, removed(revision, Subject::Upstream(UpstreamId(id)))),
+                4 => directory.apply(now, zone_out(revision, "a")),
+                5 => directory.apply(now, removed(revision, Subject::ZoneOut("a".to_owned()))),
+                6 => directory.store_lost(),
+                _ => directory.load(now, all()),
+            }
+            let table = table(&mut directory, now);
+            prop_assert!(table.version >= version);
+            version = table.version;
+            let out = table.zones.iter().position(|zone| zone == "a").filter(|_| kind == 4);
+            for upstream in table.upstreams.values() {
+                let is_out = out.is_some_and(|place| usize::from(upstream.zone.0) == place);
+                prop_assert!(!(is_out && upstream.takes_new));
+                prop_assert!(!(upstream.ended && upstream.takes_new));
+            }
+        }
+    }
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -47,9 +47,9 @@
 #[derive(Debug, Clone, Copy)]
 pub struct StoreLost;
 
-/// This process stood still for a while, and what it knows may be old.
+/// Settings that decide how far facts are trusted have changed.
 #[derive(Debug, Clone, Copy)]
-pub struct StoodStill(pub Duration);
+pub struct Reconfigure(pub directory::Settings);
 
 /// Time has passed.
 #[derive(Debug, Clone, Copy)]
@@ -201,14 +201,12 @@
     }
 }
 
-impl Message<StoodStill> for Control {
+impl Message<Reconfigure> for Control {
     type Reply = ();
 
-    async fn handle(&mut self, msg: StoodStill, _: &mut Context<Self, ()>) {
-        tracing::warn!(gap_ms = msg.0.as_millis() as u64, "stood still; reading the store again");
-        if self.commands.send(Command::Distrust).is_err() {
-            tracing::error!("the traffic thread is gone");
-        }
+    async fn handle(&mut self, msg: Reconfigure, _: &mut Context<Self, ()>) {
+        self.directory.reconfigure(msg.0);
+        self.publish(self.clock.now());
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod control;
 pub mod exposition;
+pub mod gap;
 pub mod held;
 pub mod logs;
 pub mod narrate;
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -15,6 +15,7 @@
 use steer::{Action, Engine, Event, Packet, Raw, Stats, Table, Token, UpstreamId, ZoneId};
 use tokio::sync::watch;
 
+use crate::gap::Gaps;
 use crate::held::Held;
 
 /// Longest wait for a packet, so that commands are seen in time.
@@ -32,6 +33,10 @@
 /// Reports that may wait for the control thread.
 const REPORTS_MAX: usize = 4_096;
 
+/// Longest wait for a new table after a stand-still; the store may be away, and a client sends its
+/// first copy after 200 ms.
+const DISTRUST_MOST: Duration = Duration::from_millis(300);
+
 /// Time between reports of counts.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 
@@ -51,8 +56,6 @@
 pub enum Command {
     /// A new table is in force.
     Table(Arc<Table>),
-    /// The table may be old: packets that open flows wait for the next one.
-    Distrust,
     /// A zone can be reached, as its entries say.
     ZoneAnswers(String),
     /// Stop.
@@ -166,7 +169,9 @@
     held: Held,
     reports: SyncSender<Report>,
     counts: Counts,
-    distrusted: bool,
+    gaps: Gaps,
+    /// Until when the table may be too old to open flows by.
+    distrust_until: Option<Timestamp>,
     last_report: Timestamp,
     received: Arc<AtomicU64>,
     silence: watch::Sender<Silence>,
@@ -190,7 +195,8 @@
             held: Held::default(),
             reports,
             counts: Counts::default(),
-            distrusted: false,
+            gaps: Gaps::start(),
+            distrust_until: None,
             last_report: now,
             received: Arc::default(),
             silence,
@@ -212,6 +218,7 @@
                     return Ok(());
                 }
             }
+            self.check_trust();
             let behind = self.receive(&mut buf)?;
             self.received.store(self.counts.received, Ordering::Relaxed);
             self.run_timers(behind);
@@ -220,6 +227,18 @@
         }
     }
 
+    /// After a stand-still flows are opened by a new table, or by the old one if none comes.
+    fn check_trust(&mut self) {
+        let now = self.clock.now();
+        if self.gaps.check().is_some() {
+            self.distrust_until = Some(now + DISTRUST_MOST);
+        }
+        if self.distrust_until.is_some_and(|until| until <= now) {
+            self.distrust_until = None;
+            self.replay();
+        }
+    }
+
     /// Waits for a packet or the next timer.
     fn wait(&self) -> io::Result<()> {
         let now = self.clock.now();
@@ -253,7 +272,7 @@
             self.counts.malformed += 1;
             return;
         };
-        if self.distrusted && packet.syn {
+        if self.distrust_until.is_some() && packet.syn {
             self.hold(now, &buf[FRAME_LEN..FRAME_LEN + len]);
             return;
         }
@@ -303,12 +322,11 @@
         let now = self.clock.now();
         match command {
             Command::Table(table) => {
-                self.engine.apply(now, table, &self.cfg.zone);
-                self.distrusted = false;
+                self.engine.apply(table, &self.cfg.zone);
+                self.distrust_until = None;
                 self.replay();
             }
             Command::ZoneAnswers(zone) => self.engine.zone_answers(now, &zone),
-            Command::Distrust => self.distrusted = true,
             Command::Stop => return false,
         }
         true
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -3,9 +3,9 @@
 //! Counts, failures and the reachability of zones come from openings alone: they cost nothing and
 //! can't be out of date by more than the time between two openings.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
-use balance::Budget;
 use indexmap::IndexMap;
 use stdx::time::Timestamp;
 
@@ -32,8 +32,13 @@
 /// cost, a queue costs more.
 const REMOTE_COST: u32 = 1;
 
-/// Part of the cold limit that is used; the rest covers packets that bunch up on their way.
-const COLD_MARGIN: f64 = 0.8;
+/// Part of the cold limit that is used, in percent; the rest covers packets that bunch up on their
+/// way, and an entry that others do not know yet.
+const COLD_PERCENT: u32 = 80;
+
+/// Time over which new flows at a cold upstream are counted: the limit holds for any second, and
+/// packets that were sent further apart may arrive closer together.
+const COLD_WINDOW: Duration = Duration::from_millis(1_100);
 
 /// Places of upstreams that were never picked.
 const ORDERS: u64 = 1 << 20;
@@ -59,7 +64,8 @@
     avoid_until: Timestamp,
     /// Until when the upstream, just returned, counts as cold.
     unproven_until: Timestamp,
-    cold_opens: Budget,
+    /// When this entry opened flows here while the upstream was cold.
+    cold_opens: VecDeque<Timestamp>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -115,11 +121,11 @@
     }
 
     /// Takes over a new table. An upstream that started anew is a new one.
-    pub fn apply(&mut self, now: Timestamp, table: &Table, own_zone: Option<ZoneId>) {
+    pub fn apply(&mut self, table: &Table, own_zone: Option<ZoneId>) {
         self.own_zone = own_zone;
         self.upstreams.retain(|id, _| table.upstreams.contains_key(id));
         for (id, upstream) in &table.upstreams {
-            let fresh = || State::new(now, upstream, order(self.seed, *id));
+            let fresh = || State::new(upstream, order(self.seed, *id));
             let state = self.upstreams.entry(*id).or_insert_with(fresh);
             if upstream.started_ms.is_some() && state.started_ms != upstream.started_ms {
                 *state = fresh();
@@ -154,7 +160,7 @@
             if excluded.contains(id) {
                 continue;
             }
-            let Some(tier) = self.tier(now, upstream, limits, table.entries) else {
+            let Some(tier) = self.tier(now, table, upstream, limits) else {
                 continue;
             };
             let state = &self.upstreams[id];
@@ -165,15 +171,16 @@
                 best = Some((rank, *id));
             }
         }
-        let Some(((tier, ..), id)) = best else {
+        let Some((_, id)) = best else {
             return Err(if eligible { NoChoice::AllAtLimit } else { NoChoice::NoneEligible });
         };
         self.picks += 1;
         let state = &mut self.upstreams[&id];
         state.last_pick = self.picks;
         state.open += 1;
-        if tier != Tier::Fit {
-            state.cold_opens.take(now, 1.0);
+        let is_cold = table.upstreams.get(&id).is_some_and(|upstream| upstream.cold_until > now);
+        if is_cold {
+            state.cold_opens.push_back(now);
         }
         Ok(id)
     }
@@ -280,19 +287,18 @@
     fn tier(
         &mut self,
         now: Timestamp,
+        table: &Table,
         upstream: &Upstream,
         limits: Option<&Service>,
-        entries: u32,
     ) -> Option<Tier> {
         let zone_avoided =
             self.zones.get(&upstream.zone).is_some_and(|zone| zone.avoid_until > now);
         let state = self.upstreams.get_mut(&upstream.id)?;
         if upstream.cold_until > now {
-            let entries = f64::from(entries.max(1));
-            let rate = limits.map_or(0.0, |l| l.cold_opens_per_s) * COLD_MARGIN / entries;
-            let burst = limits.map_or(0.0, |l| l.cold_burst) * COLD_MARGIN / entries;
-            state.cold_opens.set_rate(now, burst, rate);
-            if !state.cold_opens.holds(now, 1.0) {
+            let all = limits.map_or(0, |service| service.cold_opens) * COLD_PERCENT / 100;
+            let old = |at: &Timestamp| now.since(*at) >= COLD_WINDOW;
+            while state.cold_opens.pop_front_if(|at| old(at)).is_some() {}
+            if state.cold_opens.len() as u32 >= table.share_of(all, upstream.id) {
                 return None;
             }
             return Some(if zone_avoided || state.avoid_until > now {
@@ -326,7 +332,7 @@
 }
 
 impl State {
-    fn new(now: Timestamp, upstream: &Upstream, last_pick: u64) -> Self {
+    fn new(upstream: &Upstream, last_pick: u64) -> Self {
         Self {
             started_ms: upstream.started_ms,
             open: 0,
@@ -334,7 +340,7 @@
             strikes: 0,
             avoid_until: Timestamp::default(),
             unproven_until: Timestamp::default(),
-            cold_opens: Budget::new(now, 0.0, 0.0),
+            cold_opens: VecDeque::new(),
         }
     }
 }
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -260,9 +260,9 @@
     }
 
     /// Takes over a new table.
-    pub fn apply(&mut self, now: Timestamp, table: Arc<Table>, own_zone: &str) {
+    pub fn apply(&mut self, table: Arc<Table>, own_zone: &str) {
         let own_zone = table.zones.iter().position(|zone| zone == own_zone);
-        self.choices.apply(now, &table, own_zone.map(|place| ZoneId(place as u16)));
+        self.choices.apply(&table, own_zone.map(|place| ZoneId(place as u16)));
         self.tokens.clear();
         for id in table.upstreams.keys() {
             self.tokens.entry(id.token()).or_default().push(*id);
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -58,15 +58,14 @@
     }
 }
 
+stdx::record! {
 /// A service's limits for upstreams that are cold.
-#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// Its name.
     pub name: String,
-    /// New flows a second that a cold upstream may be given by all entries together.
-    pub cold_opens_per_s: f64,
-    /// New flows beyond that rate in any second, by all entries together.
-    pub cold_burst: f64,
+    /// New flows in any second that a cold upstream may be given by all entries together.
+    pub cold_opens: u32,
+}
 }
 
 /// Everything that decides where a packet may go.
@@ -86,8 +85,31 @@
     pub zones: Vec<String>,
     /// Upstreams that take or may hold flows.
     pub upstreams: IndexMap<UpstreamId, Upstream>,
-    /// Entries that may be opening flows, this one included; at least one.
-    pub entries: u32,
+    /// Numbers of the entries that may be opening flows, this one included.
+    pub entries: Vec<u64>,
+    /// This entry's number.
+    pub own: u64,
+}
+
+impl Table {
+    /// How many of `total` new flows in a second this entry may open at an upstream.
+    ///
+    /// Entries are put in an order that all agree on and that differs between upstreams. What does
+    /// not divide evenly goes to the first ones, so that small limits are used and never exceeded.
+    pub fn share_of(&self, total: u32, upstream: UpstreamId) -> u32 {
+        let weight = |entry: u64| mix(entry ^ mix(upstream.0));
+        let own = weight(self.own);
+        let before = self.entries.iter().filter(|entry| weight(**entry) < own).count() as u32;
+        let count = self.entries.len().max(1) as u32;
+        total / count + u32::from(before < total % count)
+    }
+}
+
+/// Spreads a number over all bits (the finisher of splitmix64).
+const fn mix(number: u64) -> u64 {
+    let number = (number ^ (number >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    number ^ (number >> 31)
 }
 
 impl UpstreamId {
--- /dev/null
+++ b/crates/steer/tests/support/mod.rs
@@ -0,0 +1,118 @@
+//! A table and packets for tests.
+
+#![allow(dead_code, reason = "each test uses a part")]
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use stdx::time::Timestamp;
+use steer::table::{ServiceId, Target};
+use steer::{
+    Action, Engine, FlowKey, Packet, Route, Service, Settings, Table, Token, Upstream, UpstreamId,
+    ZoneId,
+};
+
+pub const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+pub const OTHER_SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
+pub const OPENING: [u8; 36] = [7; 36];
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+
+pub fn settings() -> Settings {
+    Settings {
+        hedge_least: Duration::from_millis(8),
+        hedge_most: Duration::from_millis(60),
+        tries: 3,
+        openings: 1_000,
+        stall: Duration::from_millis(15),
+        settle: Duration::from_secs(2),
+        seed: 1,
+    }
+}
+
+/// Six upstreams of the first service, two a zone, and two of the second in zone `a`.
+pub fn table() -> Table {
+    let mut table = Table {
+        synced: true,
+        version: 1,
+        zones: ZONES.map(str::to_owned).to_vec(),
+        services: ["orders", "menus"]
+            .map(|name| Service { name: name.to_owned(), cold_opens: 5 })
+            .to_vec(),
+        entries: vec![1],
+        own: 1,
+        ..Table::default()
+    };
+    for (addr, service) in [(SERVICE, ServiceId(0)), (OTHER_SERVICE, ServiceId(1))] {
+        let targets = vec![Target { service, weight: 1 }];
+        table.routes.insert(addr, Route { targets, ever: vec![service] });
+    }
+    for number in 0..6 {
+        add(&mut table, 0x100 + number, 0, (number % 3) as u16);
+    }
+    for number in 0..2 {
+        add(&mut table, 0x200 + number, 1, 0);
+    }
+    table
+}
+
+pub fn add(table: &mut Table, id: u64, service: u16, zone: u16) {
+    let id = UpstreamId(id);
+    let ip = Ipv4Addr::from(0x0A00_0000 + id.0 as u32);
+    let upstream = Upstream {
+        id,
+        addr: SocketAddrV4::new(ip, 8080),
+        zone: ZoneId(zone),
+        service: ServiceId(service),
+        takes_new: true,
+        cold_until: Timestamp::default(),
+        started_ms: None,
+        ended: false,
+    };
+    table.upstreams.insert(id, upstream);
+}
+
+pub fn engine(table: Table) -> Engine {
+    let mut engine = Engine::new(at(0), settings());
+    engine.apply(Arc::new(table), ZONES[0]);
+    engine
+}
+
+pub fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+pub fn flow(port: u16) -> FlowKey {
+    FlowKey { client: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port), service: SERVICE }
+}
+
+pub fn opening(port: u16) -> Packet {
+    Packet {
+        flow: flow(port),
+        token: Token(0),
+        seq: u32::from(port),
+        ack: 0,
+        syn: true,
+        acks: false,
+        fin: false,
+        rst: false,
+        data_len: 0,
+    }
+}
+
+/// A packet of a flow that the client takes for open at `upstream`.
+pub fn later(port: u16, upstream: UpstreamId, ack: u32) -> Packet {
+    let token = upstream.token();
+    Packet { token, ack, syn: false, acks: true, seq: u32::from(port) + 1, ..opening(port) }
+}
+
+pub fn open(engine: &mut Engine, now: Timestamp, port: u16) -> Option<UpstreamId> {
+    target(engine.on_packet(now, &opening(port), &OPENING))
+}
+
+pub fn target(action: Action) -> Option<UpstreamId> {
+    match action {
+        Action::Forward(hop) => Some(hop.upstream),
+        _ => None,
+    }
+}
