Equal load first; another zone decides ties only

Cause: the test of steady load showed five upstreams of the own zone with all flows, two deep, while nine others were idle: a flow in another zone cost as much as a queue. Change: fewest own flows, then the own zone, then the one left alone the longest.

--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -28,10 +28,6 @@
 /// Doublings of both times at most.
 const AVOID_DOUBLINGS: u32 = 3;
 
-/// Open flows that an upstream in another zone counts as more than it has; bytes between zones
-/// cost, a queue costs more.
-const REMOTE_COST: u32 = 1;
-
 /// Part of the cold limit that is used, in percent; the rest covers packets that bunch up on their
 /// way, and an entry that others do not know yet.
 const COLD_PERCENT: u32 = 80;
@@ -165,8 +161,7 @@
             };
             let state = &self.upstreams[id];
             let remote = self.own_zone != Some(upstream.zone);
-            let cost = state.open + if remote { REMOTE_COST } else { 0 };
-            let rank = (tier, cost, remote, state.last_pick);
+            let rank = (tier, state.open, remote, state.last_pick);
             if best.is_none_or(|(least, _)| rank < least) {
                 best = Some((rank, *id));
             }
