A further try goes to another zone; lints

Cause: with two of three zones cut off, an opening's three tries could all go there and the client waited for its own copy (test pick_zone_cut_off_prefers_others, red before).

--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -85,7 +85,7 @@
     }
 
     /// What to do next.
-    pub fn next(&mut self) -> Ask {
+    pub fn ask(&mut self) -> Ask {
         if let Some(pause) = self.pause.take() {
             return Ask::Pause(pause);
         }
--- a/crates/directory/tests/believed.rs
+++ b/crates/directory/tests/believed.rs
@@ -16,7 +16,7 @@
 fn settings() -> Settings {
     Settings {
         relist: Duration::from_secs(2),
-        remember: Duration::from_secs(60),
+        remember: Duration::from_mins(1),
         member_hold: Duration::from_secs(4),
         cold_burst: 5,
         cold_over_milli: 1_500,
@@ -47,7 +47,7 @@
         id: UpstreamId(id),
         service: "orders".to_owned(),
         addr: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, id as u8), 80),
-        zone: if id % 2 == 0 { "a" } else { "b" }.to_owned(),
+        zone: if id.is_multiple_of(2) { "a" } else { "b" }.to_owned(),
         leaving: false,
         cold_left: Duration::ZERO,
         started_ms: Some(7),
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -12,7 +12,6 @@
 const LINES_MAX: usize = 2_000;
 
 /// Starts logging at `level`. Lines are written until the guard is dropped.
-#[must_use]
 pub fn start(level: LevelFilter) -> WorkerGuard {
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -20,7 +20,7 @@
 const ZONE_STRIKES_TO_AVOID: u32 = 3;
 
 /// Time that an upstream is avoided at first; it doubles with each further failure.
-const AVOID_FIRST: Duration = Duration::from_millis(1000);
+const AVOID_FIRST: Duration = Duration::from_secs(1);
 
 /// Time that a zone is avoided at first; it doubles with each further failure.
 const ZONE_AVOID_FIRST: Duration = Duration::from_millis(500);
@@ -101,6 +101,17 @@
         Unproven,
         Avoided,
     }
+
+    /// The order among upstreams, best first: the fields are compared one after the other.
+    struct Rank {
+        tier: Tier,
+        /// Upstreams of its zone that were tried for this flow.
+        tried_there: usize,
+        open: u32,
+        remote: bool,
+        last_pick: u64,
+        id: UpstreamId,
+    }
 }
 
 impl Choices {
@@ -131,8 +142,9 @@
 
     /// Chooses the upstream for a new flow of `service` and counts the flow there.
     ///
-    /// Warm upstreams that answer come first. Among them the one with the fewest own flows wins,
-    /// then one of the own zone, then the one left alone the longest.
+    /// Warm upstreams that answer come first. A further try goes to another zone, because the silent
+    /// one may be cut off. Then the one with the fewest own flows wins, then one of the own zone,
+    /// then the one left alone the longest.
     ///
     /// # Errors
     ///
@@ -142,18 +154,20 @@
         now: Timestamp,
         table: &Table,
         service: ServiceId,
-        excluded: &[UpstreamId],
+        tried: &[UpstreamId],
         usable: impl Fn(UpstreamId) -> bool,
     ) -> Result<UpstreamId, NoChoice> {
         let mut eligible = false;
-        let mut best: Option<((Tier, u32, bool, u64), UpstreamId)> = None;
+        let mut best: Option<Rank> = None;
+        let tried_zones: Vec<ZoneId> =
+            tried.iter().filter_map(|id| Some(table.upstreams.get(id)?.zone)).collect();
         let limits = table.services.get(usize::from(service.0));
         for (id, upstream) in &table.upstreams {
             if upstream.service != service || !upstream.takes_new || !usable(*id) {
                 continue;
             }
             eligible = true;
-            if excluded.contains(id) {
+            if tried.contains(id) {
                 continue;
             }
             let Some(tier) = self.tier(now, table, upstream, limits) else {
@@ -161,12 +175,18 @@
             };
             let state = &self.upstreams[id];
             let remote = self.own_zone != Some(upstream.zone);
-            let rank = (tier, state.open, remote, state.last_pick);
-            if best.is_none_or(|(least, _)| rank < least) {
-                best = Some((rank, *id));
-            }
+            let tried_there = tried_zones.iter().filter(|zone| **zone == upstream.zone).count();
+            let rank = Rank {
+                tier,
+                tried_there,
+                open: state.open,
+                remote,
+                last_pick: state.last_pick,
+                id: *id,
+            };
+            best = Some(best.map_or(rank, |least| least.min(rank)));
         }
-        let Some((_, id)) = best else {
+        let Some(Rank { id, .. }) = best else {
             return Err(if eligible { NoChoice::AllAtLimit } else { NoChoice::NoneEligible });
         };
         self.picks += 1;
--- a/crates/steer/src/packet.rs
+++ b/crates/steer/src/packet.rs
@@ -17,6 +17,7 @@
     }
 
     /// A packet that a client sent.
+    #[expect(clippy::struct_excessive_bools, reason = "flags of a head, each on its own")]
     pub struct Packet {
         /// The flow it belongs to.
         pub flow: FlowKey,
