A small platform in virtual time, and faults at many moments

One pair is bound lower than its parts: with the store away and all entries killed nobody knows the routes until it is back (trace: all entries unsynced for 3.5 s).

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod entry;
 pub mod faults;
 pub mod seen;
+pub mod steered;
 pub mod upstream;
 pub mod world;
 
--- /dev/null
+++ b/crates/fakes/src/steered/entry.rs
@@ -0,0 +1,111 @@
+//! An entry: the real decisions, driven by the world.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use directory::{Directory, Follow, Pace};
+use health::Reach;
+use stdx::time::Timestamp;
+use steer::{Engine, Packet, Table};
+
+/// The bound on how late a change may be in force, as on the platform's first sites.
+pub const BOUND: Duration = Duration::from_secs(3);
+
+/// An entry as one process.
+#[derive(Debug)]
+pub struct Entry {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: usize,
+    /// Whether the process runs.
+    pub alive: bool,
+    /// Whether it was told to stop.
+    pub leaving: bool,
+    /// Until when it stands still.
+    pub frozen_until: Timestamp,
+    /// Until when the store refuses it.
+    pub refused_until: Timestamp,
+    /// Until when the promises with a time do not hold for it.
+    pub disturbed_until: Timestamp,
+    /// Counts processes, so that events of an earlier one are known.
+    pub life: u32,
+    /// Traffic decisions.
+    pub engine: Engine,
+    /// Beliefs.
+    pub directory: Directory,
+    /// When the store is read.
+    pub follow: Follow,
+    /// Reachability of zones.
+    pub reach: Reach,
+    /// Packets kept until there is a table.
+    pub held: Vec<(Timestamp, Packet)>,
+}
+
+impl Entry {
+    /// A process that has just started.
+    pub fn start(now: Timestamp, name: &str, zone: usize, life: u32) -> Self {
+        let seed = name.bytes().map(u64::from).sum();
+        Self {
+            name: name.to_owned(),
+            zone,
+            alive: true,
+            leaving: false,
+            frozen_until: Timestamp::default(),
+            refused_until: Timestamp::default(),
+            disturbed_until: now + Duration::from_secs(4),
+            life,
+            engine: Engine::new(now, engine_settings(seed)),
+            directory: Directory::new(directory_settings()),
+            follow: Follow::new(Pace::within(BOUND)),
+            reach: Reach::default(),
+            held: Vec::new(),
+        }
+    }
+
+    /// Takes over what is believed now.
+    pub fn publish(&mut self, now: Timestamp, zone: &str) {
+        let (table, _) = self.directory.table(now, &self.name);
+        self.engine.apply(Arc::new(table), zone);
+    }
+
+    /// Whether routers are told that packets may come.
+    pub fn is_ready(&mut self, now: Timestamp) -> bool {
+        let runs = self.alive && self.frozen_until <= now && !self.leaving;
+        runs && self.directory.is_synced() && self.reach.serves(now)
+    }
+
+    /// Tells the reachability what openings tell.
+    pub fn tell_silence(&mut self) {
+        let table: Arc<Table> = Arc::clone(self.engine.table());
+        let silent: Vec<&str> = self
+            .engine
+            .silent_zones()
+            .filter_map(|zone| table.zones.get(usize::from(zone.0)))
+            .map(String::as_str)
+            .collect();
+        self.reach.on_traffic(&silent, self.engine.unable_since());
+    }
+}
+
+fn engine_settings(seed: u64) -> steer::Settings {
+    steer::Settings {
+        hedge_least: Duration::from_millis(8),
+        hedge_most: Duration::from_millis(60),
+        tries: 3,
+        openings: 20_000,
+        stall: Duration::from_millis(15),
+        settle: Duration::from_millis(2_250),
+        seed,
+    }
+}
+
+fn directory_settings() -> directory::Settings {
+    directory::Settings {
+        relist: Duration::from_secs(2),
+        remember: Duration::from_mins(1),
+        member_hold: Duration::from_secs(4),
+        cold_burst: 5,
+        cold_over_milli: 1_500,
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/steered/fault.rs
@@ -0,0 +1,49 @@
+//! What can be done to the platform and the entries.
+
+use std::time::Duration;
+
+stdx::value! {
+    /// One fault or planned change.
+    pub enum Fault {
+        /// An upstream dies without a word.
+        UpstreamDies,
+        /// An upstream drains, then leaves; another one starts cold.
+        UpstreamReplaced,
+        /// A zone is cut off from the other zones and the store.
+        ZoneCut(Duration),
+        /// A zone is taken out of service, then back.
+        ZoneOut(Duration),
+        /// An entry is killed and starts again.
+        EntryKilled,
+        /// All entries are killed and start again.
+        AllKilled,
+        /// All entries are told to stop and start again, one after the other.
+        EntriesRolled,
+        /// An entry stands still.
+        EntryFrozen(Duration),
+        /// The store does not answer; upstreams' records run out meanwhile.
+        StoreAway(Duration),
+        /// The store refuses one entry.
+        StoreRefuses(Duration),
+        /// The store drops its history.
+        HistoryGone,
+        /// A new version moves the route to the other service.
+        RouteMoved,
+    }
+}
+
+/// Every fault, with times like those of the platform's days.
+pub const ALL: [Fault; 12] = [
+    Fault::UpstreamDies,
+    Fault::UpstreamReplaced,
+    Fault::ZoneCut(Duration::from_secs(5)),
+    Fault::ZoneOut(Duration::from_secs(6)),
+    Fault::EntryKilled,
+    Fault::AllKilled,
+    Fault::EntriesRolled,
+    Fault::EntryFrozen(Duration::from_secs(3)),
+    Fault::StoreAway(Duration::from_secs(5)),
+    Fault::StoreRefuses(Duration::from_secs(6)),
+    Fault::HistoryGone,
+    Fault::RouteMoved,
+];
--- /dev/null
+++ b/crates/fakes/tests/steered.rs
@@ -0,0 +1,115 @@
+//! Faults at many moments on a small platform, and what clients and upstreams see.
+
+use std::time::Duration;
+
+use fakes::steered::{Config, Fault, Seen, World, fault};
+
+fn config(seed: u64) -> Config {
+    Config { seed, entries: 4, upstreams: 9, per_s: 150, loss_milli: 0 }
+}
+
+fn play(cfg: Config, faults: &[(u64, Fault)]) -> Seen {
+    let mut world = World::new(cfg);
+    world.run(Duration::from_secs(3));
+    let mut passed = 0;
+    for (at, fault) in faults {
+        world.run(Duration::from_millis(at - passed));
+        passed = *at;
+        world.cause(*fault);
+    }
+    world.run(Duration::from_secs(18));
+    world.seen
+}
+
+fn check(seen: &Seen, least: f64, what: &str) {
+    assert!(seen.broken.is_empty(), "{what}: {:?}", &seen.broken[..seen.broken.len().min(5)]);
+    let served = seen.share_served();
+    assert!(served >= least, "{what}: served {served:.3} of {}", seen.requests);
+}
+
+#[test]
+fn calm_day() {
+    let seen = play(config(1), &[]);
+    check(&seen, 0.999, "calm");
+    assert!(seen.share_in_aim() > 0.995, "{}", seen.share_in_aim());
+}
+
+#[test]
+fn calm_day_with_loss() {
+    let seen = play(Config { loss_milli: 10, ..config(2) }, &[]);
+    assert!(seen.broken.is_empty(), "{:?}", seen.broken);
+}
+
+/// Every fault at five moments.
+#[test]
+fn each_fault_at_each_step() {
+    for fault in fault::ALL {
+        for step in 0..5 {
+            let seen = play(config(step), &[(step * 370, fault)]);
+            check(&seen, least(fault), &format!("{fault:?} at step {step}"));
+        }
+    }
+}
+
+/// Every pair of faults, the second while the first is still felt.
+#[test]
+fn each_pair_of_faults() {
+    for first in fault::ALL {
+        for second in fault::ALL {
+            let seen = play(config(7), &[(0, first), (900, second)]);
+            let least = match (first, second) {
+                // Nobody is left who knows the routes until the store is back, 3.5 of 21 s later.
+                (Fault::StoreAway(_), Fault::AllKilled) => 0.8,
+                _ => least(first) + least(second) - 1.0,
+            };
+            check(&seen, least, &format!("{first:?}, then {second:?}"));
+        }
+    }
+}
+
+/// The zone is out of service, then it is cut off: its entries reach no upstream that they may use.
+#[test]
+fn zone_out_then_cut() {
+    for seed in 0..6 {
+        let faults = [
+            (0, Fault::ZoneOut(Duration::from_secs(14))),
+            (4_000, Fault::ZoneCut(Duration::from_secs(6))),
+        ];
+        let seen = play(config(seed), &faults);
+        check(&seen, 0.95, &format!("seed {seed}"));
+    }
+}
+
+/// All entries are killed while an upstream drains and the store has just come back.
+#[test]
+fn all_killed_during_drain() {
+    for seed in 0..6 {
+        let faults = [
+            (0, Fault::StoreAway(Duration::from_secs(3))),
+            (3_500, Fault::UpstreamReplaced),
+            (4_000, Fault::AllKilled),
+        ];
+        check(&play(config(seed), &faults), 0.9, &format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn same_seed_same_course() {
+    let faults = [(100, Fault::ZoneCut(Duration::from_secs(5))), (700, Fault::EntryKilled)];
+    let (one, other) = (play(config(3), &faults), play(config(3), &faults));
+    assert_eq!(
+        (one.requests, one.served, one.in_aim),
+        (other.requests, other.served, other.in_aim)
+    );
+}
+
+/// The least share of requests served over 21 s with a fault: what is under way when entries die or
+/// stand still is lost, and routers need a second to notice.
+fn least(fault: Fault) -> f64 {
+    match fault {
+        Fault::EntryKilled | Fault::EntryFrozen(_) => 0.97,
+        Fault::AllKilled => 0.93,
+        Fault::StoreAway(_) | Fault::ZoneCut(_) => 0.985,
+        _ => 0.995,
+    }
+}
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -11,8 +11,8 @@
 
 use rustix::event::{PollFd, PollFlags, Timespec};
 use stdx::time::{Clock, Timestamp};
-use steer::engine::Drop;
-use steer::{Action, Engine, Event, Packet, Raw, Stats, Table, Token, UpstreamId, ZoneId};
+use steer::engine::{Drop, Hedge};
+use steer::{Action, Engine, Event, Packet, Stats, Table, Token, UpstreamId, ZoneId};
 use tokio::sync::watch;
 
 use crate::gap::Gaps;
@@ -346,17 +346,17 @@
 
     fn run_timers(&mut self, behind: bool) {
         let now = self.clock.now();
-        while let Some((hop, raw)) = self.engine.on_timer(now, behind) {
-            self.send_again(hop.upstream, hop.token, hop.addr, &raw);
+        while let Some(hedge) = self.engine.on_timer(now, behind) {
+            self.send_again(&hedge);
         }
     }
 
-    fn send_again(&mut self, id: UpstreamId, token: Token, to: SocketAddrV4, raw: &Raw) {
+    fn send_again(&mut self, hedge: &Hedge) {
         let mut buf = [0_u8; FRAME_LEN + steer::packet::RAW_MAX];
-        let bytes = raw.as_slice();
+        let bytes = hedge.raw.as_slice();
         buf[FRAME_LEN..FRAME_LEN + bytes.len()].copy_from_slice(bytes);
-        (self.cfg.codec.set_token)(&mut buf[FRAME_LEN..], token);
-        self.send_framed(&mut buf, bytes.len(), id, to);
+        (self.cfg.codec.set_token)(&mut buf[FRAME_LEN..], hedge.hop.token);
+        self.send_framed(&mut buf, bytes.len(), hedge.hop.upstream, hedge.hop.addr);
     }
 
     /// Tells the control thread what was decided. It may be too slow: traffic goes on.
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -81,6 +81,16 @@
         pub addr: std::net::SocketAddrV4,
     }
 
+    /// An opening packet that is sent again, to a further upstream.
+    pub struct Hedge {
+        /// The flow.
+        pub flow: FlowKey,
+        /// Where the packet goes.
+        pub hop: Hop,
+        /// The packet.
+        pub raw: Raw,
+    }
+
     /// A reset for a client.
     pub struct Reset {
         /// The flow.
@@ -235,7 +245,7 @@
     ///
     /// `behind` says that packets are waiting to be read. Then, and after a stall, answers may be
     /// among them, and silence is counted from here.
-    pub fn on_timer(&mut self, now: Timestamp, behind: bool) -> Option<(Hop, Raw)> {
+    pub fn on_timer(&mut self, now: Timestamp, behind: bool) -> Option<Hedge> {
         let stalled = behind || now.since(self.last_look) > self.cfg.stall;
         self.last_look = now;
         while let Some(Reverse((due, flow))) = self.timers.peek().copied() {
@@ -470,7 +480,7 @@
     }
 
     /// What is due for a flow: a further try, or to be forgotten.
-    fn on_due(&mut self, now: Timestamp, flow: &FlowKey) -> Option<(Hop, Raw)> {
+    fn on_due(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Hedge> {
         let opening = *self.openings.get(flow)?;
         let keep = match opening.stage {
             Stage::Opening => FORGET_UNANSWERED,
@@ -489,7 +499,7 @@
         hedge
     }
 
-    fn hedge(&mut self, now: Timestamp, flow: &FlowKey, opening: &Opening) -> Option<(Hop, Raw)> {
+    fn hedge(&mut self, now: Timestamp, flow: &FlowKey, opening: &Opening) -> Option<Hedge> {
         if opening.stage != Stage::Opening {
             return None;
         }
@@ -500,7 +510,7 @@
         }
         let hop = self.try_further(now, flow)?;
         self.stats.hedges += 1;
-        Some((hop, raw))
+        Some(Hedge { flow: *flow, hop, raw })
     }
 
     fn strike_newest(&mut self, now: Timestamp, flow: &FlowKey) {
--- a/crates/steer/tests/choice.rs
+++ b/crates/steer/tests/choice.rs
@@ -27,8 +27,8 @@
             engine.on_packet(now, &fin, &[]);
             return Some(alive);
         }
-        while let Some((hop, _)) = engine.on_timer(now, false) {
-            tried.push(hop.upstream);
+        while let Some(hedge) = engine.on_timer(now, false) {
+            tried.push(hedge.hop.upstream);
         }
     }
     None
--- a/crates/steer/tests/opening.rs
+++ b/crates/steer/tests/opening.rs
@@ -98,9 +98,9 @@
     for step in 2..7 {
         assert!(engine.on_timer(at(step * 10 - 1), false).is_none());
     }
-    let (hop, raw) = engine.on_timer(at(60), false).expect("a hedge is due");
-    assert_ne!(Some(hop.upstream), first);
-    assert_eq!(raw.as_slice(), OPENING);
+    let hedge = engine.on_timer(at(60), false).expect("a hedge is due");
+    assert_ne!(Some(hedge.hop.upstream), first);
+    assert_eq!((hedge.raw.as_slice(), hedge.flow), (OPENING.as_slice(), flow(1)));
 }
 
 #[test]
--- a/crates/steer/tests/steering.rs
+++ b/crates/steer/tests/steering.rs
@@ -150,8 +150,8 @@
                 Action::Reset(reset) => prop_assert_eq!(reset.flow, packet.flow),
                 Action::Hold | Action::Drop(_) => {}
             }
-            while let Some((hop, _)) = engine.on_timer(now, false) {
-                prop_assert!(engine.table().upstreams[&hop.upstream].takes_new);
+            while let Some(hedge) = engine.on_timer(now, false) {
+                prop_assert!(engine.table().upstreams[&hedge.hop.upstream].takes_new);
             }
             prop_assert!(engine.take_events().count() < 100);
         }
