--- /dev/null
+++ b/crates/ibis-explain/tests/explain.rs
@@ -0,0 +1,165 @@
+//! Each way to fail is named from the lines that the entry really writes.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ibis_explain::{Cause, Line, explain, read};
+use node::narrate::Narrator;
+use stdx::time::Timestamp;
+use steer::table::ServiceId;
+use steer::{Event, FlowKey, Refusal, Table, Upstream, UpstreamId, ZoneId};
+
+const UP: UpstreamId = UpstreamId(0xAB);
+const NAMED: &str = "ab@10.0.0.1:80/a";
+
+fn flow() -> FlowKey {
+    FlowKey {
+        client: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), 4_000),
+        service: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
+    }
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+#[derive(Clone, Default)]
+struct Sink(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for Sink {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The lines of an entry that decided so.
+fn lines(events: &[(u64, Event)]) -> Vec<Line> {
+    let sink = Sink::default();
+    let writer = sink.clone();
+    let subscriber = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_writer(move || writer.clone())
+        .finish();
+    tracing::subscriber::with_default(subscriber, || {
+        let mut narrator = Narrator::new();
+        narrator.set_table(Arc::new(table()));
+        for (millis, event) in events {
+            narrator.on_event(at(*millis), event);
+        }
+    });
+    let log = sink.0.lock().unwrap().clone();
+    read("entry-1", std::str::from_utf8(&log).unwrap())
+}
+
+fn table() -> Table {
+    let mut table = Table { zones: vec!["a".to_owned()], ..Table::default() };
+    let upstream = Upstream {
+        id: UP,
+        addr: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 80),
+        zone: ZoneId(0),
+        service: ServiceId(0),
+        takes_new: true,
+        cold_until: Timestamp::default(),
+        started_ms: None,
+        ended: false,
+    };
+    table.upstreams.insert(UP, upstream);
+    table
+}
+
+fn cause(events: &[(u64, Event)]) -> Cause {
+    explain(&lines(events), "100.64.0.7:4000").cause
+}
+
+fn opened() -> Event {
+    Event::Opened { flow: flow(), upstream: UP, attempt: 0, waited: Duration::ZERO }
+}
+
+fn accepted() -> Event {
+    Event::Accepted { flow: flow(), upstream: UP, took: Duration::from_millis(7) }
+}
+
+fn unanswered() -> Event {
+    Event::Unanswered { flow: flow(), upstream: UP, attempts: 3 }
+}
+
+#[test]
+fn explain_refused() {
+    let refused = |reason| cause(&[(0, Event::Refused { flow: flow(), reason })]);
+    assert_eq!(refused(Refusal::NoRoute), Cause::NoRoute);
+    assert_eq!(refused(Refusal::NoneEligible), Cause::NoneEligible);
+    assert_eq!(refused(Refusal::AllAtLimit), Cause::AllAtLimit);
+}
+
+#[test]
+fn explain_reset() {
+    let reset = |upstream| {
+        cause(&[(0, opened()), (7, accepted()), (90, Event::ResetOpen { flow: flow(), upstream })])
+    };
+    assert_eq!(reset(Some(UP)), Cause::UpstreamEnded(NAMED.to_owned()));
+    assert_eq!(reset(None), Cause::RouteDropped);
+}
+
+#[test]
+fn explain_unanswered() {
+    let silent = cause(&[(0, opened()), (2_000, unanswered())]);
+    assert_eq!(silent, Cause::UpstreamsSilent(NAMED.to_owned()));
+    let zone = Event::ZoneAvoided { zone: ZoneId(0) };
+    let cut = cause(&[(0, opened()), (60, zone), (2_000, unanswered())]);
+    assert_eq!(cut, Cause::ZoneSilent("a".to_owned()));
+}
+
+#[test]
+fn explain_zone_silent_long_before() {
+    let zone = Event::ZoneAvoided { zone: ZoneId(0) };
+    let silent = cause(&[(0, zone), (40_000, opened()), (42_000, unanswered())]);
+    assert_eq!(silent, Cause::UpstreamsSilent(NAMED.to_owned()));
+}
+
+#[test]
+fn explain_open() {
+    assert_eq!(cause(&[(0, opened()), (7, accepted())]), Cause::Opened(NAMED.to_owned()));
+    let failed = cause(&[(0, opened()), (7, accepted()), (80, Event::Avoided { upstream: UP })]);
+    assert_eq!(failed, Cause::UpstreamFailedLater(NAMED.to_owned()));
+}
+
+#[test]
+fn explain_nothing_written() {
+    let other = read("entry-2", r#"{"timestamp":"t","level":"INFO","message":"started"}"#);
+    assert_eq!(explain(&other, "1.2.3.4:5").cause, Cause::EntryStarted("entry-2".to_owned()));
+    assert_eq!(explain(&[], "1.2.3.4:5").cause, Cause::Unknown);
+}
+
+#[test]
+fn explain_by_both_ends() {
+    let lines = lines(&[(0, opened()), (7, accepted())]);
+    assert_eq!(explain(&lines, "100.64.0.7:4000>198.18.0.1:443").lines.len(), 2);
+    assert_eq!(explain(&lines, "100.64.0.7:4000>198.18.0.1:80").lines.len(), 0);
+}
+
+#[test]
+fn read_collected_logs() {
+    let log =
+        "built in 1 s\n  12.3 edge-a-1 {\"timestamp\":\"t\",\"message\":\"started\"}\n{broken\n";
+    let lines = read("file", log);
+    assert_eq!((lines.len(), lines[0].instance.as_str()), (1, "edge-a-1"));
+}
+
+/// Lines are bounded in each second, and failures are not crowded out by successes.
+#[test]
+fn on_event_many() {
+    let mut events: Vec<(u64, Event)> = (0..500).map(|_| (1, opened())).collect();
+    events.extend((0..20).map(|_| (2, unanswered())));
+    let lines = lines(&events);
+    let count = |message: &str| lines.iter().filter(|line| line.message == message).count();
+    assert_eq!((count("opening sent"), count("opening unanswered")), (10, 20));
+}
--- a/crates/node/src/narrate.rs
+++ b/crates/node/src/narrate.rs
@@ -27,6 +27,7 @@
     opened: Limit,
     retried: Limit,
     accepted: Limit,
+    unanswered: Limit,
     refused: Limit,
     reset: Limit,
     beliefs: Limit,
@@ -42,6 +43,7 @@
             opened: Limit::new(SUCCESSES_PER_S),
             retried: Limit::new(FAILURES_PER_S),
             accepted: Limit::new(SUCCESSES_PER_S),
+            unanswered: Limit::new(FAILURES_PER_S),
             refused: Limit::new(FAILURES_PER_S),
             reset: Limit::new(FAILURES_PER_S),
             beliefs: Limit::new(FAILURES_PER_S),
@@ -109,6 +111,20 @@
                     tracing::info!(at = at.as_micros(), flow, upstream, took_us, "flow open");
                 }
             }
+            Event::Unanswered { flow, upstream, attempts } => {
+                counter!("ibis_openings_unanswered_total").increment(1);
+                if self.unanswered.allow(at) {
+                    let upstream = self.describe(*upstream);
+                    let flow = name(flow);
+                    tracing::warn!(
+                        at = at.as_micros(),
+                        flow,
+                        upstream,
+                        attempts,
+                        "opening unanswered"
+                    );
+                }
+            }
             Event::Refused { flow, reason } => {
                 counter!("ibis_refusals_total", "reason" => reason_name(*reason)).increment(1);
                 if self.refused.allow(at) {
@@ -198,6 +214,7 @@
             ("opening sent", &mut self.opened),
             ("opening sent again", &mut self.retried),
             ("flow open", &mut self.accepted),
+            ("opening unanswered", &mut self.unanswered),
             ("opening refused", &mut self.refused),
             ("flow reset", &mut self.reset),
             ("belief changed", &mut self.beliefs),
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -143,6 +143,15 @@
             /// Time since it was tried.
             took: Duration,
         },
+        /// No upstream's answer to an opening was acknowledged, and the client has given up.
+        Unanswered {
+            /// The flow.
+            flow: FlowKey,
+            /// The upstream that was tried last.
+            upstream: UpstreamId,
+            /// Upstreams tried.
+            attempts: u32,
+        },
         /// An opening was refused.
         Refused {
             /// The flow.
@@ -490,6 +499,7 @@
         let forget_at = opening.last + keep;
         if forget_at <= now {
             let forgotten = self.openings.remove(flow)?;
+            self.note_unanswered(flow, &forgotten);
             self.release(&forgotten);
             return None;
         }
@@ -580,6 +590,16 @@
         self.events.push(Event::Opened { flow: *flow, upstream, attempt, waited });
     }
 
+    fn note_unanswered(&mut self, flow: &FlowKey, opening: &Opening) {
+        if opening.stage != Stage::Opening {
+            return;
+        }
+        if let Some(newest) = opening.tries().next_back() {
+            let (upstream, attempts) = (newest.upstream, opening.tries().count() as u32);
+            self.events.push(Event::Unanswered { flow: *flow, upstream, attempts });
+        }
+    }
+
     /// Takes a record's flows off the counts.
     fn release(&mut self, opening: &Opening) {
         match opening.stage {
