An entry that started while the store was away waits until upstreams are listed again

Ruled out: refusals of our own (none). Change: such an entry is not ready until the relist time has passed; it still carries what is sent to it.

--- a/crates/directory/src/believed.rs
+++ b/crates/directory/src/believed.rs
@@ -57,6 +57,8 @@
     /// Since when the store can't be trusted to list every upstream that lives; the end is open
     /// while it is away.
     doubt: Doubt,
+    /// Until when the first reading may lack most upstreams, because the store had been away.
+    thin_until: Option<Timestamp>,
     last: Shift,
 }
 
@@ -103,6 +105,7 @@
             zones_back: IndexMap::new(),
             members: IndexMap::new(),
             doubt: Doubt::None,
+            thin_until: None,
             last: Shift::default(),
         }
     }
@@ -110,7 +113,11 @@
     /// Takes everything that the store holds. What is not among it is gone.
     pub fn load(&mut self, now: Timestamp, records: Vec<Record>) {
         if self.doubt == Doubt::Away {
-            self.doubt = Doubt::Until(now + self.cfg.relist);
+            let relisted = now + self.cfg.relist;
+            self.doubt = Doubt::Until(relisted);
+            if self.upstreams.is_empty() {
+                self.thin_until = Some(relisted);
+            }
         }
         let listed: IndexSet<Subject> =
             records.iter().filter(|r| r.fact.is_some()).map(|r| r.subject.clone()).collect();
@@ -192,6 +199,12 @@
         self.config.is_some() && !self.upstreams.is_empty()
     }
 
+    /// Whether the upstreams that are known may be all that live. Not so for a process that started
+    /// while the store was away, until those that live are listed again.
+    pub fn is_complete(&self, now: Timestamp) -> bool {
+        self.thin_until.is_none_or(|until| until <= now)
+    }
+
     /// The other entries and this one; those come last that are no longer listed, for a list may
     /// have lost entries that live.
     pub fn members(&self) -> impl Iterator<Item = (&str, &Member)> {
--- a/crates/directory/tests/believed.rs
+++ b/crates/directory/tests/believed.rs
@@ -193,6 +193,26 @@
     assert!(!entry(&table(&mut directory, at(7_001)), 2).ended, "a lapse is no proof of an end");
 }
 
+/// Entries that started while records had lapsed took the first two upstreams for all, and others
+/// that knew sixteen were passed by.
+#[test]
+fn is_complete_started_while_store_was_away() {
+    let mut directory = Directory::new(settings());
+    assert!(directory.is_complete(at(0)));
+    directory.store_lost();
+    directory.load(at(5_000), all().into_iter().take(2).collect());
+    assert!(directory.is_synced() && !directory.is_complete(at(6_999)));
+    assert!(directory.is_complete(at(7_000)));
+}
+
+#[test]
+fn is_complete_outage_of_a_process_that_knew() {
+    let mut directory = loaded();
+    directory.store_lost();
+    directory.load(at(5_000), vec![config(10, 5, Some("orders"))]);
+    assert!(directory.is_complete(at(5_000)));
+}
+
 #[test]
 fn load_after_outage_listed_again() {
     let mut directory = loaded();
--- a/crates/fakes/src/steered/entry.rs
+++ b/crates/fakes/src/steered/entry.rs
@@ -72,7 +72,9 @@
     /// Whether routers are told that packets may come.
     pub fn is_ready(&mut self, now: Timestamp) -> bool {
         let runs = self.alive && self.frozen_until <= now && !self.leaving;
-        runs && self.directory.is_synced() && self.reach.serves(now)
+        runs && self.directory.is_synced()
+            && self.directory.is_complete(now)
+            && self.reach.serves(now)
     }
 
     /// Tells the reachability what openings tell.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -150,7 +150,7 @@
         if self.leaving {
             return Readiness::Leaving;
         }
-        if !self.directory.is_synced() {
+        if !self.directory.is_synced() || !self.directory.is_complete(now) {
             return Readiness::Starting;
         }
         if self.reach.serves(now) { Readiness::Ready } else { Readiness::Unable }
