--- /dev/null
+++ b/crates/fakes/src/steered/world/following.rs
@@ -0,0 +1,156 @@
+//! Entries and the store.
+
+use super::{COLD, Event, ROUTE, SERVICES, STORE_DELAY, WATCH_STEP, World, ZONES};
+use directory::Answer;
+use directory::Ask;
+use directory::Config as RouteConfig;
+use directory::Fact;
+use directory::RouteSpec;
+use directory::ServiceSpec;
+use directory::Subject;
+use std::time::Duration;
+use stdx::time::Timestamp;
+use steer::UpstreamId;
+
+impl World {
+    pub(super) fn store_answers(&self, place: usize) -> Result<(), Answer> {
+        let entry = &self.entries[place];
+        if entry.refused_until > self.now {
+            return Err(Answer::Refused);
+        }
+        if self.store.away || self.cut_until[entry.zone] > self.now {
+            return Err(Answer::Lost);
+        }
+        Ok(())
+    }
+
+    pub(super) fn on_follow(&mut self, place: usize, life: u32) {
+        let now = self.now;
+        let entry = &mut self.entries[place];
+        if !entry.alive || entry.life != life {
+            return;
+        }
+        if entry.frozen_until > now {
+            entry.follow.on_gap();
+            let wait = entry.frozen_until.since(now) + Duration::from_millis(1);
+            self.at(wait, Event::Follow(place, life));
+            return;
+        }
+        let times = entry.follow.pace();
+        match entry.follow.ask() {
+            Ask::Pause(pause) => self.at(pause, Event::Follow(place, life)),
+            Ask::Load => match self.store_answers(place) {
+                Ok(()) => self.at(STORE_DELAY, Event::Loaded(place, life, false)),
+                Err(Answer::Refused) => self.at(STORE_DELAY, Event::Loaded(place, life, true)),
+                Err(_) => self.lost(place, times.slack),
+            },
+            Ask::Watch(after) => {
+                self.at(STORE_DELAY, Event::Watching(place, life, after, now + times.wait));
+            }
+        }
+    }
+
+    pub(super) fn lost(&mut self, place: usize, wait: Duration) {
+        let entry = &mut self.entries[place];
+        entry.follow.on_answer(self.now, Answer::Lost);
+        entry.directory.store_lost();
+        let life = entry.life;
+        self.at(wait, Event::Follow(place, life));
+    }
+
+    pub(super) fn on_loaded(&mut self, place: usize, life: u32, refused: bool) {
+        if self.entries[place].life != life {
+            return;
+        }
+        let now = self.now;
+        let entry = &mut self.entries[place];
+        if refused {
+            entry.follow.on_answer(now, Answer::Refused);
+            entry.directory.store_lost();
+        } else {
+            let (records, revision) = self.store.load();
+            entry.follow.on_answer(now, Answer::Loaded(revision));
+            entry.directory.load(now, records);
+            self.publish(place);
+        }
+        self.at(Duration::ZERO, Event::Follow(place, life));
+    }
+
+    pub(super) fn on_watching(&mut self, place: usize, life: u32, after: u64, end: Timestamp) {
+        let now = self.now;
+        if self.entries[place].life != life || !self.entries[place].alive {
+            return;
+        }
+        match self.store_answers(place) {
+            Ok(()) => {}
+            // The waiting call stays silent and is given up after its time.
+            Err(Answer::Lost) => {
+                let slack = self.entries[place].follow.pace().slack;
+                self.lost(place, end.since(now) + slack);
+                return;
+            }
+            Err(answer) => {
+                let entry = &mut self.entries[place];
+                entry.follow.on_answer(now, answer);
+                entry.directory.store_lost();
+                self.at(STORE_DELAY, Event::Follow(place, life));
+                return;
+            }
+        }
+        let Some(records) = self.store.since(after) else {
+            self.entries[place].follow.on_answer(now, Answer::Forgotten);
+            self.at(Duration::ZERO, Event::Follow(place, life));
+            return;
+        };
+        if records.is_empty() && now < end {
+            self.at(WATCH_STEP, Event::Watching(place, life, after, end));
+            return;
+        }
+        let any = !records.is_empty();
+        let revision = self.store.revision();
+        let entry = &mut self.entries[place];
+        entry.follow.on_answer(now, Answer::Watched(revision, any));
+        for record in records {
+            entry.directory.apply(now, record);
+        }
+        self.publish(place);
+        self.at(Duration::ZERO, Event::Follow(place, life));
+    }
+
+    pub(super) fn publish(&mut self, place: usize) {
+        let now = self.now;
+        let entry = &mut self.entries[place];
+        entry.publish(now, ZONES[entry.zone]);
+        let life = entry.life;
+        while self.entries[place].directory.is_synced()
+            && let Some(packet) = self.entries[place].held.pop(now)
+        {
+            self.on_entry(place, life, packet);
+        }
+        self.schedule_timers(place);
+    }
+
+    pub(super) fn relist(&mut self) {
+        self.store.away = false;
+        let ids: Vec<UpstreamId> = self.upstreams.keys().copied().collect();
+        for id in ids {
+            self.register(id);
+        }
+    }
+
+    pub(super) fn put_config(&mut self) {
+        self.version += 3;
+        let services = SERVICES.map(|name| ServiceSpec {
+            name: name.to_owned(),
+            cold: COLD,
+            cold_opens_per_s: 0.0,
+        });
+        let targets = vec![(SERVICES[self.route].to_owned(), 1)];
+        let config = RouteConfig {
+            version: self.version,
+            routes: vec![RouteSpec { addr: ROUTE, targets }],
+            services: services.to_vec(),
+        };
+        self.store.put(Subject::Config, Some(Fact::Config(config)));
+    }
+}
