--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 use stdx::time::Timestamp;
 
+use crate::openings::Opening;
 use crate::table::{Service, ServiceId, Table, Upstream, UpstreamId, ZoneId};
 
 /// Openings in a row without an answer after which an upstream is avoided: one can be a lost
@@ -140,7 +141,7 @@
         }
     }
 
-    /// Chooses the upstream for a new flow of `service` and counts the flow there.
+    /// Chooses an upstream that `opening` was not sent to yet, and counts the flow there.
     ///
     /// Warm upstreams that answer come first. A further try goes to another zone, because the silent
     /// one may be cut off. Then the one with the fewest own flows wins, then one of the own zone,
@@ -153,21 +154,19 @@
         &mut self,
         now: Timestamp,
         table: &Table,
-        service: ServiceId,
-        tried: &[UpstreamId],
+        opening: &Opening,
         usable: impl Fn(UpstreamId) -> bool,
     ) -> Result<UpstreamId, NoChoice> {
         let mut eligible = false;
         let mut best: Option<Rank> = None;
-        let tried_zones: Vec<ZoneId> =
-            tried.iter().filter_map(|id| Some(table.upstreams.get(id)?.zone)).collect();
+        let service = opening.service;
         let limits = table.services.get(usize::from(service.0));
         for (id, upstream) in &table.upstreams {
             if upstream.service != service || !upstream.takes_new || !usable(*id) {
                 continue;
             }
             eligible = true;
-            if tried.contains(id) {
+            if opening.tries().any(|tried| tried.upstream == *id) {
                 continue;
             }
             let Some(tier) = self.tier(now, table, upstream, limits) else {
@@ -175,7 +174,7 @@
             };
             let state = &self.upstreams[id];
             let remote = self.own_zone != Some(upstream.zone);
-            let tried_there = tried_zones.iter().filter(|zone| **zone == upstream.zone).count();
+            let tried_there = opening.tries().filter(|t| t.zone == upstream.zone).count();
             let rank = Rank {
                 tier,
                 tried_there,
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -75,6 +75,8 @@
     pub struct Hop {
         /// The upstream.
         pub upstream: UpstreamId,
+        /// Its availability zone.
+        pub zone: ZoneId,
         /// Its token.
         pub token: Token,
         /// Where it receives packets.
@@ -363,7 +365,7 @@
             Err(NoChoice::NoneEligible) => return self.refuse(packet, Refusal::NoneEligible),
             Err(NoChoice::AllAtLimit) => return self.refuse(packet, Refusal::AllAtLimit),
         };
-        opening.add_try(now, hop.upstream);
+        opening.add_try(now, hop.upstream, hop.zone);
         self.note_opened(&flow, &hop, 0, Duration::ZERO);
         if let Some(evicted) = self.openings.insert(flow, opening) {
             self.release(&evicted);
@@ -426,13 +428,9 @@
             let tried = opening.tries().find(|tried| Some(tried.upstream) == by_token).copied();
             let upstream = tried.map(|tried| tried.upstream).or(by_token)?;
             opening.stage = Stage::Open { upstream, base: packet.ack };
-            let others: Vec<UpstreamId> = opening
-                .tries()
-                .map(|tried| tried.upstream)
-                .filter(|other| *other != upstream)
-                .collect();
-            for other in others {
-                self.choices.close(other);
+            let known = *opening;
+            for other in known.tries().filter(|tried| tried.upstream != upstream) {
+                self.choices.close(other.upstream);
             }
             if let Some(tried) = tried {
                 self.note_accepted(now, packet, tried.upstream, now.since(tried.at));
@@ -539,8 +537,10 @@
         let opening = *self.openings.get(flow)?;
         let attempt = opening.tries().count() as u32;
         let hop = self.pick(now, &opening).ok()?;
-        let added =
-            self.openings.get_mut(flow).is_some_and(|known| known.add_try(now, hop.upstream));
+        let added = self
+            .openings
+            .get_mut(flow)
+            .is_some_and(|known| known.add_try(now, hop.upstream, hop.zone));
         if !added {
             self.choices.close(hop.upstream);
             return None;
@@ -556,7 +556,6 @@
     }
 
     fn pick(&mut self, now: Timestamp, opening: &Opening) -> Result<Hop, NoChoice> {
-        let tried: Vec<UpstreamId> = opening.tries().map(|tried| tried.upstream).collect();
         let tokens = &self.tokens;
         // Of upstreams whose tokens collide only the first may open flows: the others' packets
         // could not be told apart.
@@ -565,7 +564,7 @@
             token != Token(0) && tokens.get(&token).and_then(|same| same.first()) == Some(&id)
         };
         let table = Arc::clone(&self.table);
-        let id = self.choices.pick(now, &table, opening.service, &tried, usable)?;
+        let id = self.choices.pick(now, &table, opening, usable)?;
         let upstream = table.upstreams.get(&id).ok_or(NoChoice::NoneEligible)?;
         Ok(hop_to(upstream))
     }
@@ -616,7 +615,12 @@
 }
 
 fn hop_to(upstream: &Upstream) -> Hop {
-    Hop { upstream: upstream.id, token: upstream.id.token(), addr: upstream.addr }
+    Hop {
+        upstream: upstream.id,
+        zone: upstream.zone,
+        token: upstream.id.token(),
+        addr: upstream.addr,
+    }
 }
 
 /// Whether a packet acknowledges bytes of the stream that began at `base`.
--- a/crates/steer/src/openings.rs
+++ b/crates/steer/src/openings.rs
@@ -4,7 +4,7 @@
 use stdx::time::Timestamp;
 
 use crate::packet::{FlowKey, Raw};
-use crate::table::{ServiceId, UpstreamId};
+use crate::table::{ServiceId, UpstreamId, ZoneId};
 
 /// Upstreams that one opening is sent to at most: hedges, and the two copies that clients send.
 pub const TRIES_MAX: usize = 4;
@@ -17,6 +17,8 @@
     pub struct Try {
         /// The upstream.
         pub upstream: UpstreamId,
+        /// Its zone.
+        pub zone: ZoneId,
         /// When.
         pub at: Timestamp,
         /// Whether its silence was counted against it.
@@ -76,11 +78,11 @@
     }
 
     /// Notes a try; returns whether there was room for it.
-    pub fn add_try(&mut self, now: Timestamp, upstream: UpstreamId) -> bool {
+    pub fn add_try(&mut self, now: Timestamp, upstream: UpstreamId, zone: ZoneId) -> bool {
         let Some(slot) = self.tries.iter_mut().find(|slot| slot.is_none()) else {
             return false;
         };
-        *slot = Some(Try { upstream, at: now, struck: false });
+        *slot = Some(Try { upstream, zone, at: now, struck: false });
         true
     }
 
--- /dev/null
+++ b/crates/steer/tests/allocations.rs
@@ -0,0 +1,55 @@
+//! The path of a packet allocates nothing once tables have their size.
+
+mod support;
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use steer::Packet;
+use support::{at, engine, later, open, table};
+
+struct Counting;
+
+static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
+
+#[expect(unsafe_code, reason = "an allocator can only be counted from inside")]
+// SAFETY: every call is handed on to the system's allocator as it came.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+#[test]
+fn on_packet_warm_allocates_nothing() {
+    let mut engine = engine(table());
+    let mut course = |from: u64, to: u64| {
+        for number in from..to {
+            let now = at(number * 10);
+            let port = 1_000 + (number % 50_000) as u16;
+            let Some(id) = open(&mut engine, now, port) else { continue };
+            for step in 0..20 {
+                engine.on_packet(now, &later(port, id, 500 + step * 1_200), &[]);
+            }
+            let fin = Packet { fin: true, ..later(port, id, 30_000) };
+            engine.on_packet(now, &fin, &[]);
+            while engine.on_timer(now + Duration::from_millis(5), false).is_some() {}
+            engine.take_events().for_each(drop);
+        }
+    };
+    course(0, 5_000);
+    let before = ALLOCATIONS.load(Ordering::Relaxed);
+    course(5_000, 15_000);
+    assert_eq!(ALLOCATIONS.load(Ordering::Relaxed) - before, 0, "for 220,000 packets");
+}
--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -3,6 +3,7 @@
 //! Each prints `measure NAME VALUE UNIT bound OP LIMIT pass|fail`, a baseline `bound none`.
 
 mod balance;
+mod path;
 mod report;
 mod slopes;
 mod survival;
@@ -15,11 +16,12 @@
 type Measure = fn(&mut Report);
 
 /// All groups by name.
-const ALL: [(&str, Measure); 4] = [
+const ALL: [(&str, Measure); 5] = [
     ("survival", survival::run),
     ("balance", balance::run),
     ("zone", zone::run),
     ("slopes", slopes::run),
+    ("path", path::run),
 ];
 
 /// Runs the measurements whose name is given, or all.
