--- a/crates/directory/src/believed.rs
+++ b/crates/directory/src/believed.rs
@@ -8,7 +8,11 @@
 use steer::table::{Service, ServiceId, Target};
 use steer::{Route, Table, Upstream, UpstreamId, ZoneId};
 
-use crate::fact::{Config, Fact, Member, Record, ServiceSpec, Subject, UpstreamSpec};
+use crate::fact::{Config, Fact, Member, Record, Subject, UpstreamSpec};
+
+/// Upstreams removed together, as a part of all (one in three), that look like a lapse of the store:
+/// a zone that loses power comes close, and keeping its upstreams listed for a moment does no harm.
+const MASS_REMOVAL_PARTS: usize = 3;
 
 stdx::value! {
     /// Times that decide how far facts are trusted.
@@ -54,6 +58,9 @@
     /// When zones were taken back into service.
     zones_back: IndexMap<String, Timestamp>,
     members: IndexMap<String, HeldMember>,
+    /// Zones and services by their places in tables, which never change.
+    zone_places: IndexSet<String>,
+    service_places: IndexSet<String>,
     /// Since when the store can't be trusted to list every upstream that lives; the end is open
     /// while it is away.
     doubt: Doubt,
@@ -104,6 +111,8 @@
             zones_out: IndexMap::new(),
             zones_back: IndexMap::new(),
             members: IndexMap::new(),
+            zone_places: IndexSet::new(),
+            service_places: IndexSet::new(),
             doubt: Doubt::None,
             thin_until: None,
             last: Shift::default(),
@@ -149,6 +158,27 @@
         }
     }
 
+    /// Takes changes that came together. When many upstreams are removed at once that had not said
+    /// that they would stop, the store may have been away unnoticed, and they may live.
+    pub fn apply_all(&mut self, now: Timestamp, records: Vec<Record>) {
+        let here = self.upstreams.values().filter(|held| held.gone.is_none()).count();
+        let removed = records.iter().filter(|record| self.is_sudden_end(record)).count();
+        if removed > 1 && removed * MASS_REMOVAL_PARTS > here && self.doubt != Doubt::Away {
+            self.doubt = Doubt::Until(now + self.cfg.relist);
+        }
+        for record in records {
+            self.apply(now, record);
+        }
+    }
+
+    fn is_sudden_end(&self, record: &Record) -> bool {
+        let Subject::Upstream(id) = record.subject else {
+            return false;
+        };
+        let known = self.upstreams.get(&id).filter(|held| held.revision < record.revision);
+        record.fact.is_none() && known.is_some_and(|held| held.gone.is_none() && !held.spec.leaving)
+    }
+
     /// Takes one change. One that is older than what is known changes nothing.
     pub fn apply(&mut self, now: Timestamp, record: Record) {
         match (record.subject, record.fact) {
@@ -224,41 +254,26 @@
     /// The table that follows, and what changed since the last one.
     pub fn table(&mut self, now: Timestamp, own_name: &str) -> (Table, Shift) {
         self.forget(now);
-        let mut table = Table { synced: self.is_synced(), ..Table::default() };
-        let mut service_ids: IndexMap<String, ServiceId> = IndexMap::new();
-        if let Some(config) = &self.config {
-            table.version = config.version;
-            for spec in &config.services {
-                service_id(&mut service_ids, &mut table, &spec.name, Some(spec), &self.cfg);
-            }
-        }
+        self.give_places();
+        self.upstreams.sort_unstable_by(|a, x, b, y| (x.created, a).cmp(&(y.created, b)));
+        let mut table = Table {
+            synced: self.is_synced(),
+            version: self.config.as_ref().map_or(0, |config| config.version),
+            services: self.service_places.iter().map(|name| self.service(name)).collect(),
+            zones: self.zone_places.iter().cloned().collect(),
+            entries: self.entries(now, own_name),
+            own: number(own_name),
+            ..Table::default()
+        };
         for (addr, names) in &self.ever {
-            let ever: Vec<ServiceId> = names
-                .iter()
-                .map(|name| service_id(&mut service_ids, &mut table, name, None, &self.cfg))
-                .collect();
-            let spec = self.config.iter().flat_map(|c| &c.routes).find(|route| route.addr == *addr);
-            let Some(spec) = spec else {
-                table.dropped.insert(*addr);
-                continue;
+            match self.route(*addr, names) {
+                Some(route) => table.routes.insert(*addr, route).is_some(),
+                None => table.dropped.insert(*addr),
             };
-            let targets = spec
-                .targets
-                .iter()
-                .map(|(name, weight)| Target {
-                    service: service_id(&mut service_ids, &mut table, name, None, &self.cfg),
-                    weight: *weight,
-                })
-                .collect();
-            table.routes.insert(*addr, Route { targets, ever });
-        }
-        self.upstreams.sort_unstable_by(|a, x, b, y| (x.created, a).cmp(&(y.created, b)));
-        for (id, held) in &self.upstreams {
-            let upstream = self.upstream(now, *id, held, &mut service_ids, &mut table);
-            table.upstreams.insert(*id, upstream);
         }
-        table.own = number(own_name);
-        table.entries = self.entries(now, own_name);
+        let upstreams = self.upstreams.iter();
+        table.upstreams =
+            upstreams.map(|(id, held)| (*id, self.upstream(now, *id, held))).collect();
         let shift = Shift {
             version_before: self.last.version,
             version: table.version,
@@ -271,19 +286,37 @@
         (table, shift)
     }
 
-    fn upstream(
-        &self,
-        now: Timestamp,
-        id: UpstreamId,
-        held: &Held,
-        service_ids: &mut IndexMap<String, ServiceId>,
-        table: &mut Table,
-    ) -> Upstream {
+    /// Gives every zone and service a place that it keeps: what is counted by place stays right from
+    /// one table to the next.
+    fn give_places(&mut self) {
+        let configured = self.config.iter().flat_map(|config| &config.services);
+        let services = configured.map(|service| &service.name).chain(self.ever.values().flatten());
+        let spoken_of = self.upstreams.values().map(|held| &held.spec.service);
+        self.service_places.extend(services.chain(spoken_of).cloned());
+        self.zone_places.extend(self.upstreams.values().map(|held| held.spec.zone.clone()));
+    }
+
+    fn service(&self, name: &str) -> Service {
+        let spec = self.config.iter().flat_map(|c| &c.services).find(|spec| spec.name == name);
+        let over = f64::from(self.cfg.cold_over_milli) / 1000.0;
+        let rate = spec.map_or(0.0, |spec| spec.cold_opens_per_s) * over;
+        Service { name: name.to_owned(), cold_opens: rate as u32 + self.cfg.cold_burst }
+    }
+
+    /// The route of an address with the services it has had; `None` if it was dropped.
+    fn route(&self, addr: SocketAddrV4, ever: &[String]) -> Option<Route> {
+        let spec = self.config.iter().flat_map(|c| &c.routes).find(|spec| spec.addr == addr)?;
+        let target = |(name, weight): &(String, u32)| Target {
+            service: self.service_id(name),
+            weight: *weight,
+        };
+        let targets = spec.targets.iter().map(target).collect();
+        Some(Route { targets, ever: ever.iter().map(|name| self.service_id(name)).collect() })
+    }
+
+    fn upstream(&self, now: Timestamp, id: UpstreamId, held: &Held) -> Upstream {
         let spec = &held.spec;
-        let zone = table.zones.iter().position(|zone| *zone == spec.zone).unwrap_or_else(|| {
-            table.zones.push(spec.zone.clone());
-            table.zones.len() - 1
-        });
+        let zone = self.zone_places.get_index_of(&spec.zone).unwrap_or_default();
         let here = held.gone.is_none_or(|gone| gone.doubted && self.doubts(now));
         let cold = self.config.iter().flat_map(|c| &c.services).find(|s| s.name == spec.service);
         let cold_by_zone = self.zones_back.get(&spec.zone).zip(cold).map(|(at, s)| *at + s.cold);
@@ -291,7 +324,7 @@
             id,
             addr: spec.addr,
             zone: ZoneId(zone as u16),
-            service: service_id(service_ids, table, &spec.service, None, &self.cfg),
+            service: self.service_id(&spec.service),
             takes_new: here && !spec.leaving && !self.zones_out.contains_key(&spec.zone),
             cold_until: held.cold_until.max(cold_by_zone.unwrap_or_default()),
             started_ms: spec.started_ms,
@@ -299,6 +332,11 @@
         }
     }
 
+    /// The place of a service; all that are named have one.
+    fn service_id(&self, name: &str) -> ServiceId {
+        ServiceId(self.service_places.get_index_of(name).unwrap_or_default() as u16)
+    }
+
     fn set_config(&mut self, config: Config) {
         if self.config.as_ref().is_some_and(|known| known.version >= config.version) {
             return;
@@ -381,24 +419,3 @@
         (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01B3)
     })
 }
-
-/// The place of a service in the table; it is added if it is not there.
-fn service_id(
-    ids: &mut IndexMap<String, ServiceId>,
-    table: &mut Table,
-    name: &str,
-    spec: Option<&ServiceSpec>,
-    cfg: &Settings,
-) -> ServiceId {
-    if let Some(id) = ids.get(name) {
-        return *id;
-    }
-    let over = f64::from(cfg.cold_over_milli) / 1000.0;
-    let rate = spec.map_or(0.0, |spec| spec.cold_opens_per_s) * over;
-    table
-        .services
-        .push(Service { name: name.to_owned(), cold_opens: rate as u32 + cfg.cold_burst });
-    let id = ServiceId((table.services.len() - 1) as u16);
-    ids.insert(name.to_owned(), id);
-    id
-}
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -15,6 +15,10 @@
 /// Time that the network and a slow store may add to a call, as a part of the bound in percent.
 const SLACK_PERCENT: u32 = 30;
 
+/// The part of the slack that a punctual answer may use: the store takes milliseconds, a slow one
+/// some hundred.
+const LATE_PART: u32 = 2;
+
 /// First wait after a call that failed.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 
@@ -64,6 +68,8 @@
     cursor: Option<u64>,
     pause: Option<Duration>,
     failures: u32,
+    /// By when the waiting call has an answer, if the store was there all the while.
+    answer_by: Option<Timestamp>,
     lost_since: Option<Timestamp>,
 }
 
@@ -81,17 +87,24 @@
 impl Follow {
     /// Has read nothing.
     pub fn new(pace: Pace) -> Self {
-        Self { pace, cursor: None, pause: None, failures: 0, lost_since: None }
+        Self { pace, cursor: None, pause: None, failures: 0, answer_by: None, lost_since: None }
     }
 
     /// What to do next.
-    pub fn ask(&mut self) -> Ask {
+    pub fn ask(&mut self, now: Timestamp) -> Ask {
         if let Some(pause) = self.pause.take() {
             return Ask::Pause(pause);
         }
+        self.answer_by = self.cursor.map(|_| now + self.pace.wait + self.pace.slack / LATE_PART);
         self.cursor.map_or(Ask::Load, Ask::Watch)
     }
 
+    /// Whether a waiting call that ends now has outlasted its wait: the store may have been away
+    /// meanwhile, and what it says may be what an outage left.
+    pub fn is_late(&self, now: Timestamp) -> bool {
+        self.answer_by.is_some_and(|by| by < now)
+    }
+
     /// Takes an answer. Returns whether the store has come back with it.
     pub fn on_answer(&mut self, now: Timestamp, answer: Answer) -> bool {
         match answer {
@@ -101,6 +114,7 @@
                 return self.lost_since.take().is_some();
             }
             Answer::Watched(at, any) => {
+                self.failures = 0;
                 self.cursor = Some(at);
                 self.pause = any.then_some(self.pace.pace);
             }
--- a/crates/directory/tests/believed.rs
+++ b/crates/directory/tests/believed.rs
@@ -231,6 +231,37 @@
     assert_eq!(eligible(&mut directory, at(5_001)), [1, 3, 4]);
 }
 
+/// What the engine counts by place has to stay right when the upstreams that come first are gone.
+#[test]
+fn table_places_stay() {
+    let mut directory = loaded();
+    let before = table(&mut directory, at(0));
+    directory.apply(at(1), removed(21, Subject::Upstream(UpstreamId(1))));
+    directory.apply(at(1), removed(22, Subject::Upstream(UpstreamId(3))));
+    let after = table(&mut directory, at(70_000));
+    assert_eq!(after.upstreams.len(), 2);
+    assert_eq!((&before.zones, &before.services), (&after.zones, &after.services));
+    assert_eq!(entry(&before, 2).zone, entry(&after, 2).zone);
+}
+
+/// A watch that waited through an outage reports all lapsed upstreams as removed.
+#[test]
+fn apply_all_mass_removal_is_doubted() {
+    let mut directory = loaded();
+    let gone = |id| removed(20 + id, Subject::Upstream(UpstreamId(id)));
+    directory.apply_all(at(0), (1..5).map(gone).collect());
+    assert_eq!(eligible(&mut directory, at(1_000)), [1, 2, 3, 4]);
+    assert_eq!(eligible(&mut directory, at(2_000)), []);
+    assert!(!entry(&table(&mut directory, at(2_001)), 2).ended);
+}
+
+#[test]
+fn apply_all_single_removal_counts_at_once() {
+    let mut directory = loaded();
+    directory.apply_all(at(0), vec![removed(21, Subject::Upstream(UpstreamId(1)))]);
+    assert_eq!(eligible(&mut directory, at(0)), [2, 3, 4]);
+}
+
 #[test]
 fn zone_out_and_back() {
     let mut directory = loaded();
--- a/crates/directory/tests/follow.rs
+++ b/crates/directory/tests/follow.rs
@@ -13,36 +13,36 @@
 
 fn follow() -> Follow {
     let mut follow = Follow::new(Pace::within(BOUND));
-    assert_eq!(follow.ask(), Ask::Load);
+    assert_eq!(follow.ask(at(0)), Ask::Load);
     follow.on_answer(at(0), Answer::Loaded(7));
     follow
 }
 
 #[test]
 fn ask_after_load_watches() {
-    assert_eq!(follow().ask(), Ask::Watch(7));
+    assert_eq!(follow().ask(at(0)), Ask::Watch(7));
 }
 
 #[test]
 fn ask_after_changes_pauses() {
     let mut follow = follow();
     follow.on_answer(at(1), Answer::Watched(9, true));
-    assert!(matches!(follow.ask(), Ask::Pause(_)));
-    assert_eq!(follow.ask(), Ask::Watch(9));
+    assert!(matches!(follow.ask(at(0)), Ask::Pause(_)));
+    assert_eq!(follow.ask(at(0)), Ask::Watch(9));
 }
 
 #[test]
 fn ask_after_silence_watches_on() {
     let mut follow = follow();
     follow.on_answer(at(1), Answer::Watched(9, false));
-    assert_eq!(follow.ask(), Ask::Watch(9));
+    assert_eq!(follow.ask(at(0)), Ask::Watch(9));
 }
 
 #[test]
 fn ask_after_history_gone_loads() {
     let mut follow = follow();
     follow.on_answer(at(1), Answer::Forgotten);
-    assert_eq!(follow.ask(), Ask::Load);
+    assert_eq!(follow.ask(at(0)), Ask::Load);
 }
 
 /// A watch may have been silent while the store was away, so a lost answer is followed by a full
@@ -52,8 +52,8 @@
     for answer in [Answer::Lost, Answer::Refused] {
         let mut follow = follow();
         follow.on_answer(at(1), answer);
-        assert!(matches!(follow.ask(), Ask::Pause(_)));
-        assert_eq!(follow.ask(), Ask::Load);
+        assert!(matches!(follow.ask(at(0)), Ask::Pause(_)));
+        assert_eq!(follow.ask(at(0)), Ask::Load);
         assert_eq!(follow.lost_since(), Some(at(1)));
         assert!(follow.on_answer(at(2), Answer::Loaded(8)), "the store is back");
         assert_eq!(follow.lost_since(), None);
@@ -66,7 +66,7 @@
     let mut last = Duration::ZERO;
     for _ in 0..20 {
         follow.on_answer(at(1), Answer::Lost);
-        let Ask::Pause(pause) = follow.ask() else { panic!("a pause after a failure") };
+        let Ask::Pause(pause) = follow.ask(at(0)) else { panic!("a pause after a failure") };
         assert!(pause >= last && pause <= Duration::from_millis(800));
         last = pause;
     }
@@ -76,7 +76,7 @@
 fn on_gap_reads_all() {
     let mut follow = follow();
     follow.on_gap();
-    assert_eq!(follow.ask(), Ask::Load);
+    assert_eq!(follow.ask(at(0)), Ask::Load);
 }
 
 /// A change right after an answer, and a store that was away unnoticed, are both seen in time.
@@ -88,3 +88,13 @@
         assert!(pace.wait + pace.slack < bound);
     }
 }
+
+/// The store was away while the call was waiting, and answered when it came back.
+#[test]
+fn is_late_outlasted_its_wait() {
+    let mut follow = follow();
+    let pace = follow.pace();
+    assert!(matches!(follow.ask(at(0)), Ask::Watch(_)));
+    assert!(!follow.is_late(at(0) + pace.wait));
+    assert!(follow.is_late(at(0) + pace.wait + pace.slack));
+}
--- a/crates/fakes/src/steered/world/following.rs
+++ b/crates/fakes/src/steered/world/following.rs
@@ -37,7 +37,7 @@
             return;
         }
         let times = entry.follow.pace();
-        match entry.follow.ask() {
+        match entry.follow.ask(now) {
             Ask::Pause(pause) => self.at(pause, Event::Follow(place, life)),
             Ask::Load => match self.store_answers(place) {
                 Ok(()) => self.at(STORE_DELAY, Event::Loaded(place, life, false)),
@@ -110,9 +110,7 @@
         let revision = self.store.revision();
         let entry = &mut self.entries[place];
         entry.follow.on_answer(now, Answer::Watched(revision, any));
-        for record in records {
-            entry.directory.apply(now, record);
-        }
+        entry.directory.apply_all(now, records);
         self.publish(place);
         self.at(Duration::ZERO, Event::Follow(place, life));
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -186,9 +186,7 @@
 
     async fn handle(&mut self, msg: Changed, _: &mut Context<Self, ()>) {
         let now = self.clock.now();
-        for record in msg.0 {
-            self.directory.apply(now, record);
-        }
+        self.directory.apply_all(now, msg.0);
         self.publish(now);
     }
 }
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -264,8 +264,11 @@
                 return None;
             }
             self.timers.pop();
+            if self.openings.get(&flow).is_none_or(|opening| opening.due != due) {
+                continue;
+            }
             if stalled && self.is_opening(&flow) {
-                self.timers.push(Reverse((now + self.late_after(), flow)));
+                self.schedule(now + self.late_after(), &flow);
                 continue;
             }
             if let Some(hedge) = self.on_due(now, &flow) {
@@ -370,7 +373,7 @@
         if let Some(evicted) = self.openings.insert(flow, opening) {
             self.release(&evicted);
         }
-        self.timers.push(Reverse((now + self.late_after(), flow)));
+        self.schedule(now + self.late_after(), &flow);
         Action::Forward(hop)
     }
 
@@ -500,7 +503,7 @@
         }
         let hedge = self.hedge(now, flow, &opening);
         let next = if hedge.is_some() { now + self.late_after() } else { forget_at };
-        self.timers.push(Reverse((next, *flow)));
+        self.schedule(next, flow);
         hedge
     }
 
@@ -609,6 +612,13 @@
         self.openings.get(flow).is_some_and(|opening| opening.stage == Stage::Opening)
     }
 
+    fn schedule(&mut self, due: Timestamp, flow: &FlowKey) {
+        if let Some(opening) = self.openings.get_mut(flow) {
+            opening.due = due;
+            self.timers.push(Reverse((due, *flow)));
+        }
+    }
+
     fn late_after(&self) -> Duration {
         self.opening_time.late_after(self.cfg.hedge_least, self.cfg.hedge_most)
     }
--- a/crates/steer/src/openings.rs
+++ b/crates/steer/src/openings.rs
@@ -59,6 +59,8 @@
         pub last: Timestamp,
         /// How far it has come.
         pub stage: Stage,
+        /// When it is to be looked at next; timers for other moments are of an earlier flow.
+        pub due: Timestamp,
         /// The opening packet, for sending it again.
         pub raw: Option<Raw>,
         tries: [Option<Try>; TRIES_MAX],
@@ -69,7 +71,7 @@
     /// An opening that was sent to nobody yet.
     pub fn new(now: Timestamp, service: ServiceId, seq: u32, raw: Option<Raw>) -> Self {
         let tries = [None; TRIES_MAX];
-        Self { service, seq, since: now, last: now, stage: Stage::Opening, raw, tries }
+        Self { service, seq, since: now, last: now, stage: Stage::Opening, due: now, raw, tries }
     }
 
     /// The upstreams that were tried, first one first.
--- a/crates/steer/tests/opening.rs
+++ b/crates/steer/tests/opening.rs
@@ -81,6 +81,17 @@
     assert!(target(engine.on_packet(at(900), &again, &OPENING)).is_some());
 }
 
+/// A client that uses a port again: the first flow's timers say nothing of the second.
+#[test]
+fn on_timer_of_earlier_flow() {
+    let mut engine = engine(table());
+    open(&mut engine, at(0), 1);
+    engine.on_timer(at(10), false);
+    let again = steer::Packet { seq: 77, ..opening(1) };
+    let second = target(engine.on_packet(at(59), &again, &OPENING));
+    assert!(second.is_some() && engine.on_timer(at(61), false).is_none());
+}
+
 #[test]
 fn on_packet_late_copy_of_open_flow() {
     let mut engine = engine(table());
