--- a/crates/fakes/src/steered/entry.rs
+++ b/crates/fakes/src/steered/entry.rs
@@ -91,15 +91,7 @@
 }
 
 fn engine_settings(seed: u64) -> steer::Settings {
-    steer::Settings {
-        hedge_least: Duration::from_millis(8),
-        hedge_most: Duration::from_millis(60),
-        tries: 3,
-        openings: 20_000,
-        stall: Duration::from_millis(15),
-        settle: Duration::from_millis(2_250),
-        seed,
-    }
+    steer::Settings::new(Duration::from_millis(2_250), seed)
 }
 
 fn directory_settings() -> directory::Settings {
--- a/crates/fakes/src/steered/world.rs
+++ b/crates/fakes/src/steered/world.rs
@@ -8,7 +8,7 @@
 use directory::{Fact, Subject};
 use indexmap::IndexMap;
 use stdx::time::Timestamp;
-use steer::engine::Hop;
+use steer::decision::Hop;
 use steer::{FlowKey, Packet, Token, UpstreamId};
 
 use super::entry::{BOUND, Entry};
--- a/crates/fakes/src/steered/world/entries.rs
+++ b/crates/fakes/src/steered/world/entries.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use steer::Action;
 use steer::Packet;
-use steer::engine::Hop;
+use steer::decision::Hop;
 
 impl World {
     pub(super) fn on_entry(&mut self, place: usize, life: u32, packet: Packet) {
--- a/crates/fakes/src/steered/world/upstreams.rs
+++ b/crates/fakes/src/steered/world/upstreams.rs
@@ -15,7 +15,7 @@
 use steer::FlowKey;
 use steer::Packet;
 use steer::UpstreamId;
-use steer::engine::Hop;
+use steer::decision::Hop;
 
 impl World {
     pub(super) fn any_upstream(&mut self) -> UpstreamId {
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -11,7 +11,7 @@
 
 use rustix::event::{PollFd, PollFlags, Timespec};
 use stdx::time::{Clock, Timestamp};
-use steer::engine::{Drop, Hedge};
+use steer::decision::{Drop, Hedge};
 use steer::{Action, Engine, Event, Held, Packet, Stats, Table, Token, UpstreamId, ZoneId};
 use tokio::sync::watch;
 
@@ -47,7 +47,7 @@
     /// Writes a token into a packet.
     pub set_token: fn(&mut [u8], Token),
     /// Writes a reset into a buffer and returns its length.
-    pub reset: fn(&steer::engine::Reset, &mut [u8]) -> usize,
+    pub reset: fn(&steer::decision::Reset, &mut [u8]) -> usize,
 }
 
 /// What the traffic thread is told.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -7,6 +7,7 @@
 //! Pure data: nothing here does I/O or reads a clock, and no outer protocol is known.
 
 pub mod choice;
+pub mod decision;
 pub mod engine;
 pub mod held;
 pub mod openings;
@@ -14,7 +15,8 @@
 pub mod table;
 pub mod timing;
 
-pub use engine::{Action, Drop, Engine, Event, Refusal, Settings, Stats};
+pub use decision::{Action, Event, Refusal, Settings, Stats};
+pub use engine::Engine;
 pub use held::Held;
 pub use packet::{FlowKey, Packet, Raw};
 pub use table::{Route, Service, Table, Target, Token, Upstream, UpstreamId, ZoneId};
--- a/crates/steer/tests/opening.rs
+++ b/crates/steer/tests/opening.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use steer::engine::Drop;
+use steer::decision::Drop;
 use steer::{Action, Event, Refusal, Token, UpstreamId};
 use support::{OPENING, at, engine, flow, later, open, opening, table, target};
 
--- a/crates/steer/tests/steering.rs
+++ b/crates/steer/tests/steering.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
-use steer::engine::Drop;
+use steer::decision::Drop;
 use steer::{Action, Packet, Token, UpstreamId};
 use support::{OPENING, OTHER_SERVICE, at, engine, later, open, opening, table, target};
 
--- a/crates/steer/tests/support/mod.rs
+++ b/crates/steer/tests/support/mod.rs
@@ -19,15 +19,7 @@
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
 
 pub fn settings() -> Settings {
-    Settings {
-        hedge_least: Duration::from_millis(8),
-        hedge_most: Duration::from_millis(60),
-        tries: 3,
-        openings: 1_000,
-        stall: Duration::from_millis(15),
-        settle: Duration::from_secs(2),
-        seed: 1,
-    }
+    Settings { openings: 1_000, ..Settings::new(Duration::from_secs(2), 1) }
 }
 
 /// Six upstreams of the first service, two a zone, and two of the second in zone `a`.
--- a/xtask/src/measure/path.rs
+++ b/xtask/src/measure/path.rs
@@ -51,15 +51,7 @@
 }
 
 fn engine(upstreams: u32) -> Engine {
-    let settings = Settings {
-        hedge_least: Duration::from_millis(8),
-        hedge_most: Duration::from_millis(60),
-        tries: 3,
-        openings: 20_000,
-        stall: Duration::from_millis(15),
-        settle: Duration::from_secs(2),
-        seed: 1,
-    };
+    let settings = Settings::new(Duration::from_secs(2), 1);
     let service = ServiceId(0);
     let mut table = Table {
         synced: true,
