--- a/crates/directory/src/believed.rs
+++ b/crates/directory/src/believed.rs
@@ -361,7 +361,11 @@
         created: u64,
     ) {
         let known = self.upstreams.get(&id);
-        if known.is_some_and(|held| held.revision > revision) {
+        // A peer may still have what was removed meanwhile; a new entry has a new revision.
+        let is_old = |held: &Held| {
+            held.revision > revision || (held.revision == revision && held.gone.is_some())
+        };
+        if known.is_some_and(is_old) {
             return;
         }
         // The same record read once more does not start the time anew that it gives.
--- a/crates/directory/tests/believed.rs
+++ b/crates/directory/tests/believed.rs
@@ -262,6 +262,31 @@
     assert_eq!(eligible(&mut directory, at(0)), [2, 3, 4]);
 }
 
+/// Facts of a peer that does not know of a removal yet.
+#[test]
+fn apply_all_facts_of_a_peer() {
+    let mut directory = loaded();
+    directory.apply(at(0), removed(21, Subject::Upstream(UpstreamId(2))));
+    directory.store_lost();
+    let mut facts = all();
+    facts[0] = config(30, 9, Some("menus"));
+    directory.apply_all(at(1), facts);
+    assert_eq!(table(&mut directory, at(1)).version, 9);
+    assert_eq!(eligible(&mut directory, at(1)), [1, 3, 4]);
+}
+
+/// An entry that starts while the store is away serves by a peer's facts.
+#[test]
+fn apply_all_facts_of_a_peer_at_the_start() {
+    let mut directory = Directory::new(settings());
+    directory.store_lost();
+    directory.apply_all(at(0), all());
+    assert!(directory.is_synced() && directory.is_complete(at(0)));
+    directory.load(at(5_000), vec![config(10, 5, Some("orders"))]);
+    assert!(directory.is_complete(at(5_000)));
+    assert_eq!(eligible(&mut directory, at(6_000)), [1, 2, 3, 4]);
+}
+
 #[test]
 fn zone_out_and_back() {
     let mut directory = loaded();
