--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod exposition;
 pub mod gap;
+pub mod leaving;
 pub mod logs;
 pub mod narrate;
 pub mod peers;
