--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, Sender};
+use std::sync::mpsc::{Receiver, Sender, TryRecvError};
 use std::time::Duration;
 
 use directory::{Directory, Record};
@@ -32,6 +32,8 @@
         Unable,
         /// The process is about to stop.
         Leaving,
+        /// The traffic thread has ended by itself; only a new process helps.
+        Broken,
     }
 }
 
@@ -83,6 +85,7 @@
     ready: watch::Sender<Readiness>,
     narrator: Narrator,
     leaving: bool,
+    broken: bool,
     reach: Reach,
     table: Arc<Table>,
     socket: Arc<UdpSocket>,
@@ -108,6 +111,7 @@
             ready,
             narrator: Narrator::new(),
             leaving: false,
+            broken: false,
             reach: Reach::default(),
             table: Arc::new(Table::default()),
             socket,
@@ -120,23 +124,33 @@
         let table = Arc::new(table);
         self.narrator.set_table(Arc::clone(&table));
         self.table = Arc::clone(&table);
-        if self.commands.send(Command::Table(table)).is_err() {
-            tracing::error!("the traffic thread is gone");
-        }
+        self.command(Command::Table(table));
         self.show_readiness(now);
     }
 
     fn on_reports(&mut self, now: Timestamp) {
-        while let Ok(report) = self.reports.try_recv() {
-            match report {
-                Report::Decision(at, event) => self.narrator.on_event(at, &event),
-                Report::Counts(counts) => self.narrator.on_counts(&counts),
+        loop {
+            match self.reports.try_recv() {
+                Ok(Report::Decision(at, event)) => self.narrator.on_event(at, &event),
+                Ok(Report::Counts(counts)) => self.narrator.on_counts(&counts),
+                Err(TryRecvError::Empty) => break,
+                Err(TryRecvError::Disconnected) => {
+                    self.broken = true;
+                    break;
+                }
             }
         }
         self.narrator.on_tick(now);
         self.show_readiness(now);
     }
 
+    fn command(&mut self, command: Command) {
+        if self.commands.send(command).is_err() {
+            tracing::error!("the traffic thread is gone");
+            self.broken = true;
+        }
+    }
+
     fn show_readiness(&mut self, now: Timestamp) {
         let readiness = self.readiness(now);
         let before = *self.ready.borrow();
@@ -150,6 +164,9 @@
         if self.leaving {
             return Readiness::Leaving;
         }
+        if self.broken {
+            return Readiness::Broken;
+        }
         if !self.directory.is_synced() || !self.directory.is_complete(now) {
             return Readiness::Starting;
         }
@@ -245,9 +262,8 @@
             return;
         };
         tracing::info!(zone, from = %msg.from, "zone can be reached");
-        if self.commands.send(Command::ZoneAnswers(zone.to_owned())).is_err() {
-            tracing::error!("the traffic thread is gone");
-        }
+        let zone = zone.to_owned();
+        self.command(Command::ZoneAnswers(zone));
     }
 }
 
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -160,6 +160,15 @@
     Ok(Handle { commands, reports, received, silence, thread })
 }
 
+/// Waits for the thread to end.
+///
+/// # Errors
+///
+/// Returns the error that ended it.
+pub fn join(thread: JoinHandle<io::Result<()>>) -> io::Result<()> {
+    thread.join().unwrap_or_else(|_panic| Err(io::Error::other("the traffic thread panicked")))
+}
+
 struct Lane {
     cfg: Config,
     socket: UdpSocket,
