Eject upstreams whose answers fail more than the others', and tell the other entries

With 38 entries each one sees an upstream once in three seconds, too seldom to learn alone.

A hung request shows no acknowledgement until the client closes at its deadline; one that is turned away shows 148 bytes where usual answers are 700 and more; a reset or closed one shows 0 or 1 byte. Ruled out: the time of openings (usual there), the client's next try (clients share addresses), health checks (they lie, and cost a slot).

Change: a request on an open flow is followed by the client's acknowledgements (steer::request) and judged by what is usual on its address (steer::answers). health::Outliers compares the upstreams of a service: evidence of this entry, or of two others, ejects one for 2 s, doubling; at most a third of a service; then a trial of 4 flows a second over all entries. Entries tell each other ten times a second of upstreams that fail.

In the emulator twelve entries that talk lose less than half of the flows that they lose alone.

--- a/crates/fakes/src/steered/fault.rs
+++ b/crates/fakes/src/steered/fault.rs
@@ -9,6 +9,10 @@
         UpstreamDies,
         /// Half of the upstreams answer openings late.
         UpstreamsSlow(Duration),
+        /// An upstream takes requests and never answers them; its record says that it is well.
+        UpstreamHangs(Duration),
+        /// An upstream turns every request away, with a short answer.
+        UpstreamSheds(Duration),
         /// An upstream drains, then leaves; another one starts cold.
         UpstreamReplaced,
         /// A zone is cut off from the other zones and the store.
@@ -35,9 +39,11 @@
 }
 
 /// Every fault, with times like those of the platform's days.
-pub const ALL: [Fault; 13] = [
+pub const ALL: [Fault; 15] = [
     Fault::UpstreamDies,
     Fault::UpstreamsSlow(Duration::from_secs(4)),
+    Fault::UpstreamHangs(Duration::from_secs(5)),
+    Fault::UpstreamSheds(Duration::from_secs(5)),
     Fault::UpstreamReplaced,
     Fault::ZoneCut(Duration::from_secs(5)),
     Fault::ZoneOut(Duration::from_secs(6)),
--- a/crates/fakes/src/steered/upstream.rs
+++ b/crates/fakes/src/steered/upstream.rs
@@ -31,6 +31,10 @@
     pub leaving_since: Option<Timestamp>,
     /// Until when it answers openings late.
     pub slow_until: Timestamp,
+    /// Until when it takes requests and does not answer them.
+    pub hangs_until: Timestamp,
+    /// Until when it turns requests away.
+    pub sheds_until: Timestamp,
     /// Until when it is cold.
     pub cold_until: Timestamp,
     /// Flows by their own sequence number, and whether the client has acknowledged it.
@@ -50,6 +54,8 @@
             alive: true,
             leaving_since: None,
             slow_until: Timestamp::default(),
+            hangs_until: Timestamp::default(),
+            sheds_until: Timestamp::default(),
             cold_until: Timestamp::default(),
             flows: IndexMap::new(),
             busy_until: [Timestamp::default(); SLOTS],
--- a/crates/fakes/src/steered/world.rs
+++ b/crates/fakes/src/steered/world.rs
@@ -50,6 +50,12 @@
 const RESEND: Duration = Duration::from_millis(200);
 /// Work of a request.
 const WORK: Duration = Duration::from_millis(15);
+/// Bytes of a response.
+const RESPONSE_BYTES: u32 = 2_000;
+/// Bytes of a response that turns a request away.
+const REFUSAL_BYTES: u32 = 150;
+/// Time between news of failed answers among entries.
+const NEWS_EVERY: Duration = Duration::from_millis(100);
 /// Time that an upstream is cold after its start.
 const COLD: Duration = Duration::from_secs(2);
 /// Openings in any second that a cold upstream may get.
@@ -76,6 +82,8 @@
     pub per_s: u32,
     /// Share of packets that are lost, in thousandths.
     pub loss_milli: u32,
+    /// Whether entries tell each other of failed answers.
+    pub news: bool,
 }
 
 /// Everything, and the time.
@@ -129,12 +137,14 @@
         AtUpstream(Hop, Packet, usize),
         Answered(FlowKey, UpstreamId, u32),
         Response(FlowKey, UpstreamId),
+        TurnedAway(FlowKey, UpstreamId),
         ResetAt(FlowKey, Option<UpstreamId>),
         Timers(usize, u32),
         Follow(usize, u32),
         Loaded(usize, u32, bool),
         Watching(usize, u32, u64, Timestamp),
         Probe,
+        News,
         Ask(usize, u32),
         Start(usize),
         Stop(usize, u32),
@@ -180,6 +190,9 @@
             world.started(place);
         }
         world.at(Duration::from_millis(500), Event::Probe);
+        if cfg.news {
+            world.at(NEWS_EVERY, Event::News);
+        }
         world.at(Duration::from_secs(1), Event::Request);
         world
     }
@@ -219,6 +232,14 @@
                 let slow = self.upstreams.values_mut().step_by(2);
                 slow.for_each(|upstream| upstream.slow_until = until);
             }
+            Fault::UpstreamHangs(time) => {
+                let id = self.any_upstream();
+                self.upstreams[&id].hangs_until = self.now + time;
+            }
+            Fault::UpstreamSheds(time) => {
+                let id = self.any_upstream();
+                self.upstreams[&id].sheds_until = self.now + time;
+            }
             Fault::UpstreamReplaced => self.replace_upstream(),
             Fault::ZoneCut(time) => {
                 self.cut_until[zone] = self.now + time;
@@ -281,6 +302,8 @@
             Event::Follow(place, life) => self.on_follow(place, life),
             Event::Loaded(place, life, refused) => self.on_loaded(place, life, refused),
             Event::Watching(place, life, after, end) => self.on_watching(place, life, after, end),
+            Event::TurnedAway(flow, id) => self.on_turned_away(&flow, id),
+            Event::News => self.on_news(),
             Event::Probe => self.on_probe(),
             Event::Ask(place, life) => self.on_ask(place, life),
             Event::Start(place) => self.on_start(place),
--- a/crates/fakes/src/steered/world/clients.rs
+++ b/crates/fakes/src/steered/world/clients.rs
@@ -1,6 +1,9 @@
 //! Clients: copies, retries, what they see.
 
-use super::{AIM, DEADLINE, Event, RESEND, ROUTE, THINK, Try, World, ZONES, later, opening};
+use super::{
+    AIM, DEADLINE, Event, REFUSAL_BYTES, RESEND, RESPONSE_BYTES, ROUTE, THINK, Try, World, ZONES,
+    later, opening,
+};
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -76,14 +79,19 @@
         }
     }
 
-    /// Sends the request itself, again if it was lost.
+    /// Sends the request itself, again if it was lost; closes the flow after the deadline.
     pub(super) fn on_send(&mut self, flow: &FlowKey) {
         let Some(tried) = self.tries.get(flow) else {
             return;
         };
-        let Some((_, ack)) = tried.open.filter(|_| self.now.since(tried.began) < DEADLINE) else {
+        let Some((_, ack)) = tried.open else {
             return;
         };
+        if self.now.since(tried.began) >= DEADLINE {
+            self.send_to_entry(Packet { fin: true, ..later(*flow, tried.token, ack) });
+            self.tries.swap_remove(flow);
+            return;
+        }
         self.send_to_entry(Packet { data_len: 900, ..later(*flow, tried.token, ack) });
         self.at(RESEND, Event::Send(*flow));
     }
@@ -104,11 +112,25 @@
         debug_assert_eq!(at, id);
         self.send_to_entry(Packet {
             fin: true,
-            ..later(*flow, tried.token, ack.wrapping_add(2_000))
+            ..later(*flow, tried.token, ack.wrapping_add(RESPONSE_BYTES))
         });
         self.tries.swap_remove(flow);
     }
 
+    /// A response that says that the request has not run.
+    pub(super) fn on_turned_away(&mut self, flow: &FlowKey, id: UpstreamId) {
+        let Some(tried) = self.tries.get(flow) else {
+            return;
+        };
+        let Some((_, ack)) = tried.open.filter(|(at, _)| *at == id) else {
+            return;
+        };
+        self.seen.turned_away += 1;
+        let ack = ack.wrapping_add(REFUSAL_BYTES);
+        self.send_to_entry(Packet { fin: true, ..later(*flow, tried.token, ack) });
+        self.retry(flow);
+    }
+
     pub(super) fn on_reset(&mut self, flow: &FlowKey, from: Option<UpstreamId>) {
         let Some(tried) = self.tries.get(flow) else {
             return;
--- a/crates/fakes/src/steered/world/entries.rs
+++ b/crates/fakes/src/steered/world/entries.rs
@@ -2,7 +2,8 @@
 
 use super::super::entry::Entry;
 use super::{
-    CLIENT_DELAY, Event, INNER_DELAY, LINGER, RESTART, STABLE, World, ZONES, member_addr, opening,
+    CLIENT_DELAY, Event, INNER_DELAY, LINGER, NEWS_EVERY, RESTART, STABLE, World, ZONES,
+    member_addr, opening,
 };
 use directory::Fact;
 use directory::Member;
@@ -105,6 +106,26 @@
         }
     }
 
+    /// Entries tell each other of failed answers.
+    pub(super) fn on_news(&mut self) {
+        let now = self.now;
+        for place in 0..self.entries.len() {
+            let runs = |entry: &Entry| entry.alive && entry.frozen_until <= now;
+            if !runs(&self.entries[place]) {
+                continue;
+            }
+            let news = self.entries[place].engine.take_news(now);
+            let zone = self.entries[place].zone;
+            for other in (0..self.entries.len()).filter(|other| *other != place) {
+                let reached = !self.is_cut(zone, self.entries[other].zone);
+                if reached && runs(&self.entries[other]) {
+                    self.entries[other].engine.on_news(now, place as u64, &news);
+                }
+            }
+        }
+        self.at(NEWS_EVERY, Event::News);
+    }
+
     pub(super) fn kill(&mut self, place: usize) {
         self.entries[place].alive = false;
         let wait = RESTART + Duration::from_millis(self.rng.u64(..300));
--- a/crates/fakes/src/steered/world/upstreams.rs
+++ b/crates/fakes/src/steered/world/upstreams.rs
@@ -109,6 +109,13 @@
         if packet.data_len == 0 || std::mem::replace(open, true) {
             return;
         }
+        if upstream.hangs_until > now {
+            return;
+        }
+        if upstream.sheds_until > now {
+            self.at(CLIENT_DELAY, Event::TurnedAway(flow, id));
+            return;
+        }
         match upstream.work(now, WORK) {
             Some(done) => self.at(done.since(now) + CLIENT_DELAY, Event::Response(flow, id)),
             None => self.at(CLIENT_DELAY, Event::ResetAt(flow, Some(id))),
--- a/crates/fakes/tests/steered.rs
+++ b/crates/fakes/tests/steered.rs
@@ -5,7 +5,7 @@
 use fakes::steered::{Config, Fault, Seen, World, fault};
 
 fn config(seed: u64) -> Config {
-    Config { seed, entries: 4, upstreams: 9, per_s: 150, loss_milli: 0 }
+    Config { seed, entries: 4, upstreams: 9, per_s: 150, loss_milli: 0, news: true }
 }
 
 fn play(cfg: Config, faults: &[(u64, Fault)]) -> Seen {
@@ -97,6 +97,36 @@
     }
 }
 
+/// Twelve entries see few flows each; what they tell each other saves most of what a hanging upstream
+/// would cost.
+#[test]
+fn hanging_upstream_is_left_alone() {
+    let faults = [(0, Fault::UpstreamHangs(Duration::from_secs(12)))];
+    let mut lost = [0, 0];
+    for (place, news) in [true, false].into_iter().enumerate() {
+        for seed in 0..4 {
+            let cfg = Config { entries: 12, upstreams: 24, per_s: 300, news, ..config(seed) };
+            let seen = play(cfg, &faults);
+            assert!(seen.broken.is_empty(), "{:?}", seen.broken);
+            lost[place] += seen.requests - seen.served;
+        }
+    }
+    let [told, alone] = lost;
+    assert!(told * 2 <= alone, "lost {told} with news, {alone} without");
+    assert!(told <= 4 * 20, "lost {told} in 4 courses");
+}
+
+/// A client may try three times; an upstream that turns requests away is seen after a few.
+#[test]
+fn shedding_upstream_is_left_alone() {
+    for seed in 0..4 {
+        let faults = [(0, Fault::UpstreamSheds(Duration::from_secs(12)))];
+        let seen = play(config(seed), &faults);
+        check(&seen, 0.999, &format!("seed {seed}"));
+        assert!(seen.turned_away <= 20, "seed {seed}: {} turned away", seen.turned_away);
+    }
+}
+
 #[test]
 fn same_seed_same_course() {
     let faults = [(100, Fault::ZoneCut(Duration::from_secs(5))), (700, Fault::EntryKilled)];
@@ -112,6 +142,8 @@
 fn least(fault: Fault) -> f64 {
     match fault {
         Fault::EntryKilled | Fault::EntryFrozen(_) => 0.97,
+        // Flows that are open when it begins, and those that show it.
+        Fault::UpstreamHangs(_) => 0.99,
         Fault::AllKilled => 0.93,
         Fault::StoreAway(_) | Fault::ZoneCut(_) => 0.985,
         _ => 0.995,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use directory::{Directory, Record};
-use health::Reach;
+use health::{Reach, Tally};
 use kameo::Actor;
 use kameo::message::{Context, Message};
 use peer_proto::v1;
 use stdx::time::{Clock, Timestamp};
-use steer::Table;
+use steer::{Table, UpstreamId};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
@@ -21,6 +21,9 @@
 /// Time between looks at the traffic thread's reports.
 pub const TICK: Duration = Duration::from_millis(250);
 
+/// Entries that are told of failed answers at most, so that messages don't grow with the fleet.
+const TOLD_MOST: usize = 48;
+
 stdx::value! {
     /// Whether packets of clients are wanted here.
     pub enum Readiness {
@@ -74,6 +77,19 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Ask;
 
+/// What this entry has seen of upstreams' answers, for the others.
+#[derive(Debug)]
+pub struct Spread(pub Vec<Tally<UpstreamId>>);
+
+/// What another entry has seen of upstreams' answers.
+#[derive(Debug)]
+pub struct Heard {
+    /// The other entry.
+    pub from: SocketAddrV4,
+    /// What it has seen.
+    pub answers: v1::Answers,
+}
+
 /// The state of the control thread.
 #[derive(Debug, Actor)]
 pub struct Control {
@@ -267,6 +283,45 @@
     }
 }
 
+impl Message<Spread> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Spread, _: &mut Context<Self, ()>) {
+        let tallies = msg.0.iter().map(|tally| v1::AnswerTally {
+            upstream: tally.key.0,
+            good: tally.good,
+            failed: tally.failed,
+        });
+        let answers = v1::Answers { tallies: tallies.collect() };
+        let bytes = peer_proto::encode_reach(v1::reach::Kind::Answers(answers));
+        let own = self.name.as_str();
+        let others = self.directory.members().filter(|(name, _)| *name != own);
+        for (_, member) in others.take(TOLD_MOST) {
+            if let Err(e) = self.socket.try_send_to(&bytes, member.addr.into()) {
+                tracing::debug!(error = %e, to = %member.addr, "news not sent");
+            }
+        }
+    }
+}
+
+impl Message<Heard> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Heard, _: &mut Context<Self, ()>) {
+        if !self.directory.members().any(|(_, member)| member.addr == msg.from) {
+            metrics::counter!("ibis_peer_answers_unasked_total").increment(1);
+            return;
+        }
+        let tallies = msg.answers.tallies.iter().map(|tally| Tally {
+            key: UpstreamId(tally.upstream),
+            good: tally.good,
+            failed: tally.failed,
+        });
+        let from = u64::from(u32::from(*msg.from.ip())) << 16 | u64::from(msg.from.port());
+        self.command(Command::News(from, tallies.collect()));
+    }
+}
+
 impl Message<Ask> for Control {
     type Reply = bool;
 
--- a/crates/node/src/narrate.rs
+++ b/crates/node/src/narrate.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use directory::Shift;
+use health::Standing;
 use metrics::{counter, gauge, histogram};
 use stdx::time::Timestamp;
-use steer::{Event, FlowKey, Refusal, Table, UpstreamId, ZoneId};
+use steer::{Event, Failure, FlowKey, Refusal, Table, UpstreamId, ZoneId};
 
 use crate::logs::Limit;
 use crate::traffic::Counts;
@@ -30,6 +31,7 @@
     unanswered: Limit,
     refused: Limit,
     reset: Limit,
+    answers: Limit,
     beliefs: Limit,
     last_left_out: Timestamp,
     last_counts: Counts,
@@ -46,6 +48,7 @@
             unanswered: Limit::new(FAILURES_PER_S),
             refused: Limit::new(FAILURES_PER_S),
             reset: Limit::new(FAILURES_PER_S),
+            answers: Limit::new(FAILURES_PER_S),
             beliefs: Limit::new(FAILURES_PER_S),
             last_left_out: Timestamp::default(),
             last_counts: Counts::default(),
@@ -160,6 +163,10 @@
                     tracing::warn!(at = at.as_micros(), zone, "zone avoided");
                 }
             }
+            Event::AnswerFailed { flow, upstream, failure, waited } => {
+                self.on_answer_failed(at, flow, *upstream, *failure, *waited);
+            }
+            Event::Standing { upstream, standing } => self.on_standing(at, *upstream, *standing),
             Event::Returned { upstream } => {
                 if self.beliefs.allow(at) {
                     let upstream = self.describe(*upstream);
@@ -169,6 +176,32 @@
         }
     }
 
+    fn on_answer_failed(
+        &mut self,
+        at: Timestamp,
+        flow: &FlowKey,
+        upstream: UpstreamId,
+        failure: Failure,
+        waited: Duration,
+    ) {
+        if self.answers.allow(at) {
+            let upstream = self.describe(upstream);
+            let waited_us = waited.as_micros() as u64;
+            let reason = failure_name(failure);
+            let flow = name(flow);
+            tracing::warn!(at = at.as_micros(), flow, upstream, reason, waited_us, "answer failed");
+        }
+    }
+
+    fn on_standing(&mut self, at: Timestamp, upstream: UpstreamId, standing: Standing) {
+        let standing = standing_name(standing);
+        counter!("ibis_upstream_standing_changes_total", "now" => standing).increment(1);
+        if self.beliefs.allow(at) {
+            let upstream = self.describe(upstream);
+            tracing::warn!(at = at.as_micros(), upstream, standing, "upstream judged");
+        }
+    }
+
     /// Takes counts over into the metrics.
     pub fn on_counts(&mut self, counts: &Counts) {
         counter!("ibis_packets_received_total").absolute(counts.received);
@@ -177,6 +210,8 @@
         counter!("ibis_openings_total").absolute(counts.engine.openings);
         counter!("ibis_hedges_total").absolute(counts.engine.hedges);
         counter!("ibis_resets_total").absolute(counts.engine.resets);
+        counter!("ibis_answers_failed_total").absolute(counts.engine.answers_failed);
+        counter!("ibis_news_lost_total").absolute(counts.news_lost);
         counter!("ibis_drops_total", "reason" => "malformed").absolute(counts.malformed);
         counter!("ibis_drops_total", "reason" => "no_route").absolute(counts.no_route);
         counter!("ibis_drops_total", "reason" => "unknown_token").absolute(counts.unknown_token);
@@ -217,6 +252,7 @@
             ("opening unanswered", &mut self.unanswered),
             ("opening refused", &mut self.refused),
             ("flow reset", &mut self.reset),
+            ("answer failed", &mut self.answers),
             ("belief changed", &mut self.beliefs),
         ];
         for (kind, limit) in kinds {
@@ -253,6 +289,21 @@
     }
 }
 
+fn failure_name(failure: Failure) -> &'static str {
+    match failure {
+        Failure::Silent => "silent",
+        Failure::Short => "short",
+    }
+}
+
+fn standing_name(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Sound => "sound",
+        Standing::OnTrial => "on_trial",
+        Standing::Ejected => "ejected",
+    }
+}
+
 /// The name of a flow in logs: both ends.
 fn name(flow: &FlowKey) -> String {
     format!("{}>{}", flow.client, flow.service)
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,24 +1,26 @@
-//! Talk between entries: short questions whether a zone can be reached.
+//! Talk between entries: short questions whether a zone can be reached, and which upstreams fail.
 
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
 
+use health::Tally;
 use kameo::actor::ActorRef;
 use peer_proto::v1::reach::Kind;
+use steer::UpstreamId;
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time;
 
-use crate::control::{Ask, Control, Pong};
+use crate::control::{Ask, Control, Heard, Pong, Spread};
 use crate::traffic::Silence;
 
 /// Time between looks whether a silent zone is to be asked again.
 const ASK_EVERY: Duration = Duration::from_millis(50);
 
 /// Largest message that is read.
-const MESSAGE_MAX: usize = 64;
+const MESSAGE_MAX: usize = 1_400;
 
 /// Binds the socket for talk between entries.
 ///
@@ -54,6 +56,11 @@
                     return;
                 }
             }
+            Ok(Some(Kind::Answers(answers))) => {
+                if control.tell(Heard { from, answers }).await.is_err() {
+                    return;
+                }
+            }
             Ok(None) | Err(_) => {
                 metrics::counter!("ibis_peer_messages_malformed_total").increment(1);
             }
@@ -61,6 +68,18 @@
     }
 }
 
+/// Passes on what the traffic thread has seen of upstreams' answers, until it ends.
+pub async fn spread_news(
+    mut news: mpsc::Receiver<Vec<Tally<UpstreamId>>>,
+    control: ActorRef<Control>,
+) {
+    while let Some(news) = news.recv().await {
+        if control.tell(Spread(news)).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Tells the control state of silent zones, and has it ask as long as there are any.
 pub async fn watch_silence(mut silence: watch::Receiver<Silence>, control: ActorRef<Control>) {
     while silence.changed().await.is_ok() {
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -9,11 +9,12 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use health::Tally;
 use rustix::event::{PollFd, PollFlags, Timespec};
 use stdx::time::{Clock, Timestamp};
 use steer::decision::{Drop, Hedge};
 use steer::{Action, Engine, Event, Held, Packet, Stats, Table, Token, UpstreamId, ZoneId};
-use tokio::sync::watch;
+use tokio::sync::{mpsc as async_mpsc, watch};
 
 use crate::gap::Gaps;
 
@@ -36,6 +37,12 @@
 /// first copy after 200 ms.
 const DISTRUST_MOST: Duration = Duration::from_millis(300);
 
+/// Time between news of answers that failed: the sooner others know, the fewer flows are lost.
+const NEWS_EVERY: Duration = Duration::from_millis(100);
+
+/// News that may wait to be sent.
+const NEWS_WAITING: usize = 8;
+
 /// Time between reports of counts.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 
@@ -57,6 +64,8 @@
     Table(Arc<Table>),
     /// A zone can be reached, as its entries say.
     ZoneAnswers(String),
+    /// Another entry, by its number, has seen this of upstreams' answers.
+    News(u64, Vec<Tally<UpstreamId>>),
     /// Stop.
     Stop,
 }
@@ -104,6 +113,8 @@
     pub send_failed: u64,
     /// Reports that the control thread was too slow for.
     pub reports_lost: u64,
+    /// News of failed answers that the control thread was too slow for.
+    pub news_lost: u64,
     /// Usual time of an opening, in microseconds.
     pub opening_us: u64,
     /// Openings remembered.
@@ -138,6 +149,8 @@
     pub received: Arc<AtomicU64>,
     /// What openings tell of zones, as it changes.
     pub silence: watch::Receiver<Silence>,
+    /// What other entries should know of upstreams' answers.
+    pub news: async_mpsc::Receiver<Vec<Tally<UpstreamId>>>,
     /// The thread itself.
     pub thread: JoinHandle<io::Result<()>>,
 }
@@ -153,11 +166,13 @@
     let (commands, inbox) = mpsc::channel();
     let (tx, reports) = mpsc::sync_channel(REPORTS_MAX);
     let (silence_tx, silence) = watch::channel(Silence::default());
-    let lane = Lane::new(cfg, socket, clock, tx, silence_tx);
+    let (news_tx, news) = async_mpsc::channel(NEWS_WAITING);
+    let lane =
+        Lane::new(cfg, socket, clock, Outlets { reports: tx, silence: silence_tx, news: news_tx });
     let received = Arc::clone(&lane.received);
     let thread =
         thread::Builder::new().name("traffic".to_owned()).spawn(move || lane.run(&inbox))?;
-    Ok(Handle { commands, reports, received, silence, thread })
+    Ok(Handle { commands, reports, received, silence, news, thread })
 }
 
 /// Waits for the thread to end.
@@ -169,31 +184,32 @@
     thread.join().unwrap_or_else(|_panic| Err(io::Error::other("the traffic thread panicked")))
 }
 
+/// Where the thread's findings go.
+struct Outlets {
+    reports: SyncSender<Report>,
+    silence: watch::Sender<Silence>,
+    news: async_mpsc::Sender<Vec<Tally<UpstreamId>>>,
+}
+
 struct Lane {
     cfg: Config,
     socket: UdpSocket,
     clock: Clock,
     engine: Engine,
     held: Held<Vec<u8>>,
-    reports: SyncSender<Report>,
+    out: Outlets,
     counts: Counts,
     gaps: Gaps,
     /// Until when the table may be too old to open flows by.
     distrust_until: Option<Timestamp>,
     last_report: Timestamp,
+    last_news: Timestamp,
     received: Arc<AtomicU64>,
-    silence: watch::Sender<Silence>,
     last_turn: Timestamp,
 }
 
 impl Lane {
-    fn new(
-        cfg: Config,
-        socket: UdpSocket,
-        clock: Clock,
-        reports: SyncSender<Report>,
-        silence: watch::Sender<Silence>,
-    ) -> Self {
+    fn new(cfg: Config, socket: UdpSocket, clock: Clock, out: Outlets) -> Self {
         let now = clock.now();
         Self {
             engine: Engine::new(now, cfg.engine),
@@ -201,13 +217,13 @@
             socket,
             clock,
             held: Held::default(),
-            reports,
+            out,
             counts: Counts::default(),
             gaps: Gaps::start(),
             distrust_until: None,
             last_report: now,
+            last_news: now,
             received: Arc::default(),
-            silence,
             last_turn: now,
         }
     }
@@ -335,6 +351,7 @@
                 self.replay();
             }
             Command::ZoneAnswers(zone) => self.engine.zone_answers(now, &zone),
+            Command::News(from, news) => self.engine.on_news(now, from, &news),
             Command::Stop => return false,
         }
         true
@@ -367,18 +384,33 @@
         self.send_framed(&mut buf, bytes.len(), hedge.hop.upstream, hedge.hop.addr);
     }
 
+    /// Hands over what other entries should know. What does not fit is lost; more follows as long as
+    /// an upstream fails.
+    fn tell_news(&mut self, now: Timestamp) {
+        if now.since(self.last_news) < NEWS_EVERY {
+            return;
+        }
+        self.last_news = now;
+        let news = self.engine.take_news(now);
+        if !news.is_empty() && self.out.news.try_send(news).is_err() {
+            self.counts.news_lost += 1;
+        }
+    }
+
     /// Tells the control thread what was decided. It may be too slow: traffic goes on.
     fn report(&mut self) {
         let now = self.clock.now();
         let mut lost = 0;
         for event in self.engine.take_events() {
-            if let Err(TrySendError::Full(_)) = self.reports.try_send(Report::Decision(now, event))
+            if let Err(TrySendError::Full(_)) =
+                self.out.reports.try_send(Report::Decision(now, event))
             {
                 lost += 1;
             }
         }
         self.counts.reports_lost += lost;
-        self.silence.send_if_modified(|known| {
+        self.tell_news(now);
+        self.out.silence.send_if_modified(|known| {
             let silence = Silence {
                 zones: self.engine.silent_zones().fold(0, |bits, zone| bits | zone_bit(zone)),
                 unable_since: self.engine.unable_since(),
@@ -394,7 +426,7 @@
         self.counts.engine = self.engine.stats();
         self.counts.opening_us = self.engine.opening_time().mean().as_micros() as u64;
         self.counts.records = self.engine.open_records() as u64;
-        if self.reports.try_send(Report::Counts(self.counts)).is_ok() {
+        if self.out.reports.try_send(Report::Counts(self.counts)).is_ok() {
             self.counts.loop_gap_us = 0;
         }
     }
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use health::{Outcome, Outliers, Standing, Tally};
 use indexmap::IndexMap;
 use stdx::time::Timestamp;
 
@@ -33,9 +34,12 @@
 /// way, and an entry that others do not know yet.
 const COLD_PERCENT: u32 = 80;
 
-/// Time over which new flows at a cold upstream are counted: the limit holds for any second, and
+/// Time over which new flows at a cold upstream, or one on trial, are counted: the limit holds for any second, and
 /// packets that were sent further apart may arrive closer together.
-const COLD_WINDOW: Duration = Duration::from_millis(1_100);
+const LIMIT_WINDOW: Duration = Duration::from_millis(1_100);
+
+/// New flows a second that all entries together give an upstream on trial.
+const TRIAL_OPENS: u32 = 4;
 
 /// Places of upstreams that were never picked.
 const ORDERS: u64 = 1 << 20;
@@ -49,6 +53,7 @@
     seed: u64,
     upstreams: IndexMap<UpstreamId, State>,
     zones: IndexMap<ZoneId, ZoneState>,
+    outliers: Outliers<UpstreamId, ServiceId>,
     picks: u64,
 }
 
@@ -61,8 +66,8 @@
     avoid_until: Timestamp,
     /// Until when the upstream, just returned, counts as cold.
     unproven_until: Timestamp,
-    /// When this entry opened flows here while the upstream was cold.
-    cold_opens: VecDeque<Timestamp>,
+    /// When this entry opened flows here while the upstream was cold or on trial.
+    limited_opens: VecDeque<Timestamp>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -124,6 +129,7 @@
             seed,
             upstreams: IndexMap::new(),
             zones: IndexMap::new(),
+            outliers: Outliers::new(),
             picks: ORDERS,
         }
     }
@@ -137,8 +143,11 @@
             let state = self.upstreams.entry(*id).or_insert_with(fresh);
             if upstream.started_ms.is_some() && state.started_ms != upstream.started_ms {
                 *state = fresh();
+                self.outliers.forgive(*id);
             }
         }
+        let takes_new = table.upstreams.values().filter(|upstream| upstream.takes_new);
+        self.outliers.set_members(takes_new.map(|upstream| (upstream.id, upstream.service)));
     }
 
     /// Chooses an upstream that `opening` was not sent to yet, and counts the flow there.
@@ -193,8 +202,8 @@
         state.last_pick = self.picks;
         state.open += 1;
         let is_cold = table.upstreams.get(&id).is_some_and(|upstream| upstream.cold_until > now);
-        if is_cold {
-            state.cold_opens.push_back(now);
+        if is_cold || self.outliers.standing(now, id) == Standing::OnTrial {
+            state.limited_opens.push_back(now);
         }
         Ok(id)
     }
@@ -253,6 +262,32 @@
         if avoided { Struck::UpstreamAvoided } else { Struck::Counted }
     }
 
+    /// Notes how an answer ended. Returns the upstream's standing if that changed.
+    pub fn answered(
+        &mut self,
+        now: Timestamp,
+        id: UpstreamId,
+        outcome: Outcome,
+    ) -> Option<Standing> {
+        self.outliers.note(now, id, outcome)
+    }
+
+    /// Takes what another entry has seen of an upstream's answers. Returns the upstream's standing if
+    /// that changed.
+    pub fn heard(
+        &mut self,
+        now: Timestamp,
+        from: u64,
+        tally: &Tally<UpstreamId>,
+    ) -> Option<Standing> {
+        self.outliers.merge(now, from, tally)
+    }
+
+    /// What other entries should know of answers since the last call.
+    pub fn take_news(&mut self, now: Timestamp) -> Vec<Tally<UpstreamId>> {
+        self.outliers.take_news(now)
+    }
+
     /// Whether some service has upstreams that take new flows but none in a zone that answers.
     /// Returns since when.
     pub fn unable_since(&self, table: &Table) -> Option<Timestamp> {
@@ -308,20 +343,24 @@
         let zone_avoided =
             self.zones.get(&upstream.zone).is_some_and(|zone| zone.avoid_until > now);
         let state = self.upstreams.get_mut(&upstream.id)?;
+        let old = |at: &Timestamp| now.since(*at) >= LIMIT_WINDOW;
+        while state.limited_opens.pop_front_if(|at| old(at)).is_some() {}
+        let limited = state.limited_opens.len() as u32;
+        let avoided = zone_avoided
+            || state.avoid_until > now
+            || match self.outliers.standing(now, upstream.id) {
+                Standing::Sound => false,
+                Standing::OnTrial => limited >= table.share_of(TRIAL_OPENS, upstream.id),
+                Standing::Ejected => true,
+            };
         if upstream.cold_until > now {
             let all = limits.map_or(0, |service| service.cold_opens) * COLD_PERCENT / 100;
-            let old = |at: &Timestamp| now.since(*at) >= COLD_WINDOW;
-            while state.cold_opens.pop_front_if(|at| old(at)).is_some() {}
-            if state.cold_opens.len() as u32 >= table.share_of(all, upstream.id) {
+            if limited >= table.share_of(all, upstream.id) {
                 return None;
             }
-            return Some(if zone_avoided || state.avoid_until > now {
-                Tier::Avoided
-            } else {
-                Tier::Cold
-            });
+            return Some(if avoided { Tier::Avoided } else { Tier::Cold });
         }
-        if zone_avoided || state.avoid_until > now {
+        if avoided {
             return Some(Tier::Avoided);
         }
         Some(if state.unproven_until > now { Tier::Unproven } else { Tier::Fit })
@@ -331,6 +370,10 @@
     fn forgive(&mut self, now: Timestamp, table: &Table, zone: ZoneId) {
         for (id, state) in &mut self.upstreams {
             let in_zone = table.upstreams.get(id).is_some_and(|upstream| upstream.zone == zone);
+            if in_zone {
+                // Answers that were lost on the way say nothing of the upstream.
+                self.outliers.forgive(*id);
+            }
             if in_zone && state.strikes > 0 {
                 state.strikes = 0;
                 state.avoid_until = Timestamp::default();
@@ -354,7 +397,7 @@
             strikes: 0,
             avoid_until: Timestamp::default(),
             unproven_until: Timestamp::default(),
-            cold_opens: VecDeque::new(),
+            limited_opens: VecDeque::new(),
         }
     }
 }
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use health::Standing;
+
 use crate::packet::{FlowKey, Raw};
+use crate::request::Failure;
 use crate::table::{Token, UpstreamId, ZoneId};
 
 /// Wait before a second upstream is tried, at the least: under it lies the jitter of a timer.
@@ -161,6 +164,24 @@
             /// The zone.
             zone: ZoneId,
         },
+        /// An answer on an open flow failed, as far as the client's packets show.
+        AnswerFailed {
+            /// The flow.
+            flow: FlowKey,
+            /// The upstream.
+            upstream: UpstreamId,
+            /// How.
+            failure: Failure,
+            /// Time since the request.
+            waited: Duration,
+        },
+        /// An upstream's answers fail more than those of the others, or no longer do.
+        Standing {
+            /// The upstream.
+            upstream: UpstreamId,
+            /// How far it is trusted now.
+            standing: Standing,
+        },
         /// An avoided upstream answers again.
         Returned {
             /// The upstream.
@@ -188,6 +209,8 @@
     pub refusals: u64,
     /// Resets of open flows.
     pub resets: u64,
+    /// Answers that failed.
+    pub answers_failed: u64,
 }
 
 impl Settings {
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -2,19 +2,23 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
 use balance::Budget;
+use health::{Outcome, Standing, Tally};
 use indexmap::IndexMap;
 use stdx::time::Timestamp;
 
+use crate::answers::Usual;
 use crate::choice::{Choices, NoChoice, Struck};
 use crate::decision::{Action, Drop, Event, Hedge, Hop, Refusal, Reset, Settings, Stats};
 use crate::openings::{Opening, Openings, Stage};
 use crate::packet::{FlowKey, Packet, Raw};
+use crate::request::{Failure, Request, Verdict};
 use crate::table::{Route, Table, Token, Upstream, UpstreamId, ZoneId};
-use crate::timing::OpeningTime;
+use crate::timing::UsualTime;
 
 /// Hedges that each opening adds to the budget; a fraction, so that hedges can't double a load.
 const HEDGES_PER_OPENING: f64 = 0.2;
@@ -48,7 +52,9 @@
     choices: Choices,
     openings: Openings,
     timers: BinaryHeap<Reverse<(Timestamp, FlowKey)>>,
-    opening_time: OpeningTime,
+    opening_time: UsualTime,
+    /// What answers look like, by the address that clients use.
+    usual: IndexMap<SocketAddrV4, Usual>,
     hedges: Budget,
     last_look: Timestamp,
     stats: Stats,
@@ -65,7 +71,8 @@
             choices: Choices::new(cfg.settle, cfg.seed),
             openings: Openings::new(cfg.openings),
             timers: BinaryHeap::new(),
-            opening_time: OpeningTime::default(),
+            opening_time: UsualTime::default(),
+            usual: IndexMap::new(),
             hedges: Budget::new(now, HEDGE_BURST, HEDGES_PER_S),
             last_look: now,
             stats: Stats::default(),
@@ -99,8 +106,8 @@
             if self.openings.get(&flow).is_none_or(|opening| opening.due != due) {
                 continue;
             }
-            if stalled && self.is_opening(&flow) {
-                self.schedule(now + self.late_after(), &flow);
+            if stalled && let Some(wait) = self.waits_for(&flow) {
+                self.schedule(now + wait, &flow);
                 continue;
             }
             if let Some(hedge) = self.on_due(now, &flow) {
@@ -123,9 +130,23 @@
         for id in table.upstreams.keys() {
             self.tokens.entry(id.token()).or_default().push(*id);
         }
+        self.usual.retain(|addr, _| table.routes.contains_key(addr));
         self.table = table;
     }
 
+    /// Takes what the entry `from` has seen of upstreams' answers.
+    pub fn on_news(&mut self, now: Timestamp, from: u64, news: &[Tally<UpstreamId>]) {
+        for tally in news {
+            let standing = self.choices.heard(now, from, tally);
+            self.note_standing(tally.key, standing);
+        }
+    }
+
+    /// What other entries should know of upstreams' answers since the last call.
+    pub fn take_news(&mut self, now: Timestamp) -> Vec<Tally<UpstreamId>> {
+        self.choices.take_news(now)
+    }
+
     /// The table in force.
     pub fn table(&self) -> &Arc<Table> {
         &self.table
@@ -155,7 +176,7 @@
     }
 
     /// Usual time of an opening.
-    pub fn opening_time(&self) -> &OpeningTime {
+    pub fn opening_time(&self) -> &UsualTime {
         &self.opening_time
     }
 
@@ -271,6 +292,7 @@
                 self.note_accepted(now, packet, tried.upstream, now.since(tried.at));
             }
         }
+        self.note_answer(now, packet);
         let ends = packet.fin || packet.rst;
         let opening = self.openings.get_mut(&packet.flow)?;
         match opening.stage {
@@ -291,6 +313,75 @@
         }
     }
 
+    /// Notes what a packet of an open flow says about the answer to its request.
+    fn note_answer(&mut self, now: Timestamp, packet: &Packet) {
+        let Some(opening) = self.openings.get_mut(&packet.flow) else {
+            return;
+        };
+        let Stage::Open { upstream, base } = opening.stage else {
+            return;
+        };
+        if !same_stream(packet, base) {
+            return;
+        }
+        let usual = self.usual.entry(packet.flow.service).or_default();
+        let asked = opening.request.map_or(now, |request| request.asked);
+        let shown = Request::follow(&mut opening.request, now, packet, usual);
+        if shown.asked {
+            let patience = usual.patience();
+            self.schedule(now + patience, &packet.flow);
+        }
+        match shown.verdict {
+            None => {}
+            Some(Verdict::Good) => {
+                let standing = self.choices.answered(now, upstream, Outcome::Good);
+                self.note_standing(upstream, standing);
+            }
+            Some(Verdict::Failed(failure)) => {
+                self.note_failed(now, &packet.flow, upstream, failure, now.since(asked));
+            }
+        }
+    }
+
+    /// Counts a request that has waited for its answer for too long.
+    fn note_silence(&mut self, now: Timestamp, flow: &FlowKey) {
+        let Some(opening) = self.openings.get_mut(flow) else {
+            return;
+        };
+        let (Stage::Open { upstream, .. }, Some(request)) = (opening.stage, &mut opening.request)
+        else {
+            return;
+        };
+        let patience = self
+            .usual
+            .get(&flow.service)
+            .map_or_else(|| Usual::default().patience(), Usual::patience);
+        let asked = request.asked;
+        if let Some(failure) = request.judge_silence(now, patience) {
+            self.note_failed(now, flow, upstream, failure, now.since(asked));
+        }
+    }
+
+    fn note_failed(
+        &mut self,
+        now: Timestamp,
+        flow: &FlowKey,
+        upstream: UpstreamId,
+        failure: Failure,
+        waited: Duration,
+    ) {
+        self.stats.answers_failed += 1;
+        self.events.push(Event::AnswerFailed { flow: *flow, upstream, failure, waited });
+        let standing = self.choices.answered(now, upstream, Outcome::Failed);
+        self.note_standing(upstream, standing);
+    }
+
+    fn note_standing(&mut self, upstream: UpstreamId, standing: Option<Standing>) {
+        if let Some(standing) = standing {
+            self.events.push(Event::Standing { upstream, standing });
+        }
+    }
+
     fn note_accepted(
         &mut self,
         now: Timestamp,
@@ -333,6 +424,7 @@
             self.release(&forgotten);
             return None;
         }
+        self.note_silence(now, flow);
         let hedge = self.hedge(now, flow, &opening);
         let next = if hedge.is_some() { now + self.late_after() } else { forget_at };
         self.schedule(next, flow);
@@ -440,8 +532,16 @@
         }
     }
 
-    fn is_opening(&self, flow: &FlowKey) -> bool {
-        self.openings.get(flow).is_some_and(|opening| opening.stage == Stage::Opening)
+    /// How long the next packet of a flow that waits for one may usually take.
+    fn waits_for(&self, flow: &FlowKey) -> Option<Duration> {
+        let opening = self.openings.get(flow)?;
+        match opening.stage {
+            Stage::Opening => Some(self.late_after()),
+            Stage::Open { .. } if opening.request.is_some_and(|request| request.is_waiting()) => {
+                self.usual.get(&flow.service).map(Usual::patience)
+            }
+            Stage::Open { .. } | Stage::Closed { .. } | Stage::Refused => None,
+        }
     }
 
     fn schedule(&mut self, due: Timestamp, flow: &FlowKey) {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -6,12 +6,14 @@
 //!
 //! Pure data: nothing here does I/O or reads a clock, and no outer protocol is known.
 
+pub mod answers;
 pub mod choice;
 pub mod decision;
 pub mod engine;
 pub mod held;
 pub mod openings;
 pub mod packet;
+pub mod request;
 pub mod table;
 pub mod timing;
 
@@ -19,4 +21,5 @@
 pub use engine::Engine;
 pub use held::Held;
 pub use packet::{FlowKey, Packet, Raw};
+pub use request::Failure;
 pub use table::{Route, Service, Table, Target, Token, Upstream, UpstreamId, ZoneId};
--- a/crates/steer/src/openings.rs
+++ b/crates/steer/src/openings.rs
@@ -4,6 +4,7 @@
 use stdx::time::Timestamp;
 
 use crate::packet::{FlowKey, Raw};
+use crate::request::Request;
 use crate::table::{ServiceId, UpstreamId, ZoneId};
 
 /// Upstreams that one opening is sent to at most: hedges, and the two copies that clients send.
@@ -63,6 +64,8 @@
         pub due: Timestamp,
         /// The opening packet, for sending it again.
         pub raw: Option<Raw>,
+        /// The client's last request on the flow.
+        pub request: Option<Request>,
         tries: [Option<Try>; TRIES_MAX],
     }
 }
@@ -71,7 +74,17 @@
     /// An opening that was sent to nobody yet.
     pub fn new(now: Timestamp, service: ServiceId, seq: u32, raw: Option<Raw>) -> Self {
         let tries = [None; TRIES_MAX];
-        Self { service, seq, since: now, last: now, stage: Stage::Opening, due: now, raw, tries }
+        Self {
+            service,
+            seq,
+            since: now,
+            last: now,
+            stage: Stage::Opening,
+            due: now,
+            raw,
+            request: None,
+            tries,
+        }
     }
 
     /// The upstreams that were tried, first one first.
--- a/crates/steer/src/timing.rs
+++ b/crates/steer/src/timing.rs
@@ -1,4 +1,4 @@
-//! How long an opening usually takes, so that a hedge is sent soon but not too soon.
+//! How long things usually take, so that a hedge is sent soon but not too soon.
 
 use std::time::Duration;
 
@@ -14,16 +14,16 @@
 /// Least margin above the mean, as a part of it: answers that are all alike leave no deviation.
 const LEAST_MARGIN: f64 = 0.5;
 
-/// Running estimate of the time from an opening to its acknowledgement.
+/// Running estimate of a time, such as that from an opening to its acknowledgement.
 #[derive(Debug, Clone, Default)]
-pub struct OpeningTime {
+pub struct UsualTime {
     mean_s: f64,
     deviation_s: f64,
     samples: u64,
 }
 
-impl OpeningTime {
-    /// Takes the time from an upstream's try to the client's acknowledgement.
+impl UsualTime {
+    /// Takes a sample.
     pub fn observe(&mut self, took: Duration) {
         let took = took.as_secs_f64();
         self.samples += 1;
--- a/crates/steer/tests/allocations.rs
+++ b/crates/steer/tests/allocations.rs
@@ -39,6 +39,8 @@
             let now = at(number * 10);
             let port = 1_000 + (number % 50_000) as u16;
             let Some(id) = open(&mut engine, now, port) else { continue };
+            let request = Packet { data_len: 900, ..later(port, id, 500) };
+            engine.on_packet(now, &request, &[]);
             for step in 0..20 {
                 engine.on_packet(now, &later(port, id, 500 + step * 1_200), &[]);
             }
--- /dev/null
+++ b/crates/steer/tests/answers.rs
@@ -0,0 +1,187 @@
+//! What clients' packets show of answers, and what follows for upstreams.
+
+mod support;
+
+use std::time::Duration;
+
+use health::{Standing, Tally};
+use stdx::time::Timestamp;
+use steer::{Engine, Event, Failure, Packet, UpstreamId};
+use support::{at, engine, later, open, table};
+
+/// Bytes of a usual answer, and of one that turns a request away.
+const USUAL: u32 = 2_000;
+const REFUSAL: u32 = 150;
+
+/// Opens a flow and sends a request on it.
+fn ask(engine: &mut Engine, now: Timestamp, port: u16) -> UpstreamId {
+    let id = open(engine, now, port).expect("an upstream");
+    engine.on_packet(now, &later(port, id, 500), &[]);
+    engine.on_packet(now, &Packet { data_len: 900, ..later(port, id, 500) }, &[]);
+    id
+}
+
+/// The client takes `bytes` of an answer and closes.
+fn finish(engine: &mut Engine, now: Timestamp, port: u16, id: UpstreamId, bytes: u32) {
+    let ack = 500 + bytes;
+    engine.on_packet(now, &later(port, id, ack), &[]);
+    engine.on_packet(now, &Packet { fin: true, ..later(port, id, ack) }, &[]);
+}
+
+fn failures(engine: &mut Engine) -> Vec<(UpstreamId, Failure)> {
+    let failure = |event| match event {
+        Event::AnswerFailed { upstream, failure, .. } => Some((upstream, failure)),
+        _ => None,
+    };
+    engine.take_events().filter_map(failure).collect()
+}
+
+fn standings(engine: &mut Engine) -> Vec<(UpstreamId, Standing)> {
+    let standing = |event| match event {
+        Event::Standing { upstream, standing } => Some((upstream, standing)),
+        _ => None,
+    };
+    engine.take_events().filter_map(standing).collect()
+}
+
+/// An engine that has seen a hundred usual answers.
+fn experienced() -> Engine {
+    let mut engine = engine(table());
+    for number in 0..100_u16 {
+        let now = at(u64::from(number) * 40);
+        let id = ask(&mut engine, now, 1_000 + number);
+        let bytes = USUAL + u32::from(number % 7) * 300;
+        finish(&mut engine, now + Duration::from_millis(20), 1_000 + number, id, bytes);
+    }
+    assert_eq!(failures(&mut engine), []);
+    engine
+}
+
+#[test]
+fn on_packet_short_answer_fails() {
+    let mut engine = experienced();
+    let id = ask(&mut engine, at(5_000), 2_000);
+    finish(&mut engine, at(5_010), 2_000, id, REFUSAL);
+    assert_eq!(failures(&mut engine), [(id, Failure::Short)]);
+}
+
+/// The upstream closed without an answer: its close alone is acknowledged.
+#[test]
+fn on_packet_closed_without_answer_fails() {
+    let mut engine = experienced();
+    let id = ask(&mut engine, at(5_000), 2_000);
+    finish(&mut engine, at(5_010), 2_000, id, 1);
+    assert_eq!(failures(&mut engine), [(id, Failure::Short)]);
+}
+
+#[test]
+fn on_timer_silence_fails_once() {
+    let mut engine = experienced();
+    let id = ask(&mut engine, at(5_000), 2_000);
+    for step in 0..100 {
+        while engine.on_timer(at(5_000 + step * 10), false).is_some() {}
+    }
+    assert_eq!(failures(&mut engine), [(id, Failure::Silent)]);
+    let fin = Packet { fin: true, ..later(2_000, id, 500) };
+    engine.on_packet(at(6_500), &fin, &[]);
+    assert_eq!(failures(&mut engine), []);
+}
+
+/// Answers may wait to be read behind a backlog.
+#[test]
+fn on_timer_behind_counts_no_silence() {
+    let mut engine = experienced();
+    ask(&mut engine, at(5_000), 2_000);
+    assert!(engine.on_timer(at(5_400), true).is_none());
+    assert_eq!(failures(&mut engine), []);
+}
+
+/// A client that leaves at once may have had its own reasons.
+#[test]
+fn on_packet_client_left_early_is_no_failure() {
+    let mut engine = experienced();
+    let id = ask(&mut engine, at(5_000), 2_000);
+    engine.on_packet(at(5_020), &Packet { fin: true, ..later(2_000, id, 500) }, &[]);
+    assert_eq!(failures(&mut engine), []);
+}
+
+/// A flow that is kept carries many requests; pauses between them are no silence.
+#[test]
+fn on_packet_kept_flow_is_judged_by_request() {
+    let mut engine = experienced();
+    let id = ask(&mut engine, at(5_000), 2_000);
+    let mut ack = 500;
+    let mut seq = 2_001 + 900;
+    for number in 1..4 {
+        ack += USUAL;
+        engine.on_packet(at(5_000 + number * 900 - 880), &later(2_000, id, ack), &[]);
+        while engine.on_timer(at(5_000 + number * 900 - 1), false).is_some() {}
+        let request = Packet { data_len: 900, seq, ..later(2_000, id, ack) };
+        seq += 900;
+        engine.on_packet(at(5_000 + number * 900), &request, &[]);
+    }
+    assert_eq!(failures(&mut engine), []);
+    for step in 0..200 {
+        while engine.on_timer(at(7_700 + step * 10), false).is_some() {}
+    }
+    assert_eq!(failures(&mut engine), [(id, Failure::Silent)]);
+}
+
+/// The same request sent again because a packet was lost is no second one.
+#[test]
+fn on_packet_request_sent_again_is_one() {
+    let mut engine = experienced();
+    let id = ask(&mut engine, at(5_000), 2_000);
+    engine.on_packet(at(5_200), &Packet { data_len: 900, ..later(2_000, id, 500) }, &[]);
+    finish(&mut engine, at(5_230), 2_000, id, USUAL);
+    assert_eq!(failures(&mut engine), []);
+}
+
+#[test]
+fn pick_ejected_upstream_comes_last() {
+    let mut engine = experienced();
+    let bad = UpstreamId(0x101);
+    let mut reached = 0;
+    for number in 0..100_u16 {
+        let now = at(5_000 + u64::from(number) * 15);
+        let port = 3_000 + number;
+        let id = ask(&mut engine, now, port);
+        reached += u32::from(id == bad);
+        let bytes = if id == bad { REFUSAL } else { USUAL };
+        finish(&mut engine, now + Duration::from_millis(5), port, id, bytes);
+    }
+    assert_eq!(standings(&mut engine), [(bad, Standing::Ejected)]);
+    assert_eq!(reached, 2, "of 100");
+}
+
+/// What others tell ejects an upstream before this entry has lost a flow to it.
+#[test]
+fn on_news_upstream_is_ejected() {
+    let mut engine = experienced();
+    let bad = UpstreamId(0x101);
+    let news = [Tally { key: bad, good: 0, failed: 2 }];
+    engine.on_news(at(5_000), 7, &news);
+    assert_eq!(standings(&mut engine), []);
+    for from in 8..30 {
+        engine.on_news(at(5_010), from, &news);
+    }
+    assert_eq!(standings(&mut engine), [(bad, Standing::Ejected)]);
+    for number in 0..50_u16 {
+        let now = at(5_100 + u64::from(number) * 15);
+        let id = ask(&mut engine, now, 3_000 + number);
+        assert_ne!(id, bad);
+        finish(&mut engine, now + Duration::from_millis(5), 3_000 + number, id, USUAL);
+    }
+}
+
+/// Strangers' numbers change nothing.
+#[test]
+fn on_news_unknown_upstream_is_ignored() {
+    let mut engine = experienced();
+    let news = [Tally { key: UpstreamId(0xDEAD), good: 0, failed: 100 }];
+    for from in 0..20 {
+        engine.on_news(at(5_000), from, &news);
+    }
+    assert_eq!(standings(&mut engine), []);
+    assert_eq!(engine.take_news(at(5_100)), []);
+}
