Compare an upstream with the others of its service, not with all of them

Change: its own answers are taken off its service's before the comparison. Ruled out: a lower factor, which ejects in bursts.

--- a/crates/health/src/outlier.rs
+++ b/crates/health/src/outlier.rs
@@ -94,8 +94,8 @@
     service: G,
     /// Answers seen here and by other entries.
     seen: Weights,
-    /// Failed answers seen here.
-    own_failed: Weights,
+    /// Answers seen here.
+    own: Weights,
     /// The last entry that told of a failed answer, and whether another one had before.
     source: Option<u64>,
     several: bool,
@@ -172,7 +172,7 @@
         };
         state.news.0 += good;
         state.news.1 += failed;
-        state.own_failed.add(now, 0, failed);
+        state.own.add(now, good, failed);
         if let Some(group) = self.services.get_mut(&state.service) {
             group.seen.add(now, good, failed);
         }
@@ -259,11 +259,12 @@
             return false;
         };
         let seen = state.seen.at(now);
-        let usual = group.seen.at(now).part_failed();
-        let bound = FAILED_LEAST.max(FAILED_OVER_OTHERS * usual);
+        let own = state.own.at(now);
+        let others = group.seen.at(now).without(own).part_failed();
+        let bound = FAILED_LEAST.max(FAILED_OVER_OTHERS * others);
         let has_room = (group.ejected + 1) * EJECTED_PARTS <= group.members;
         // One entry alone may have lost its way to the upstream; that is then its own matter.
-        let shown = state.own_failed.at(now).failed >= EVIDENCE || state.several;
+        let shown = own.failed >= EVIDENCE || state.several;
         shown && seen.failed >= EVIDENCE && seen.part_failed() >= bound && has_room
     }
 
@@ -308,7 +309,7 @@
         Self {
             service,
             seen: Weights::default(),
-            own_failed: Weights::default(),
+            own: Weights::default(),
             source: None,
             several: false,
             news: (0, 0),
@@ -333,6 +334,15 @@
         Self { good: self.good * left, failed: self.failed * left, at: now.max(self.at) }
     }
 
+    /// What is left without a part of the counts.
+    fn without(self, part: Self) -> Self {
+        Self {
+            good: (self.good - part.good).max(0.0),
+            failed: (self.failed - part.failed).max(0.0),
+            at: self.at,
+        }
+    }
+
     fn part_failed(&self) -> f64 {
         let all = self.good + self.failed;
         if all > 0.0 { self.failed / all } else { 0.0 }
