Explain requests that fail in ten ways on the emulated platform from logs alone

Cause: ibis-explain was tested on lines of single decisions. Played on the emulator, four of the ten ways were named wrongly: a flow without a line was put down to the entry that had started last, however long before; lines that were left out at the bound (50 a second and kind) hid refusals; an answer that did not come had no line at all; an entry that had no table because the store was away was 'started' only.

Ruled out: a line for each success, whose cost grows with the load.

Nothing of the path of packets has changed.

--- a/crates/fakes/src/steered/entry.rs
+++ b/crates/fakes/src/steered/entry.rs
@@ -5,8 +5,11 @@
 
 use directory::{Directory, Follow, Pace, Relay, Role, relay};
 use health::Reach;
+use node::narrate::Narrator;
 use stdx::time::Timestamp;
 use steer::{Engine, Held, Packet, Table};
+use tracing::Dispatch;
+use tracing::dispatcher;
 
 /// The bound on how late a change may be in force, as on the platform's first sites.
 pub const BOUND: Duration = Duration::from_secs(3);
@@ -46,12 +49,15 @@
     pub reach: Reach,
     /// Packets kept until there is a table.
     pub held: Held<Packet>,
+    narrator: Narrator,
+    log: Dispatch,
 }
 
 impl Entry {
     /// A process that has just started.
-    pub fn start(now: Timestamp, name: &str, zone: usize, life: u32) -> Self {
+    pub fn start(now: Timestamp, name: &str, zone: usize, life: u32, log: Dispatch) -> Self {
         let seed = name.bytes().map(u64::from).sum();
+        dispatcher::with_default(&log, || tracing::info!(at = now.as_micros(), name, "started"));
         Self {
             name: name.to_owned(),
             zone,
@@ -69,6 +75,8 @@
             known_since: 0,
             reach: Reach::default(),
             held: Held::default(),
+            narrator: Narrator::new(),
+            log,
         }
     }
 
@@ -80,7 +88,30 @@
     /// Takes over what is believed now.
     pub fn publish(&mut self, now: Timestamp, zone: &str) {
         let (table, _) = self.directory.table(now, &self.name);
-        self.engine.apply(Arc::new(table), zone);
+        let table = Arc::new(table);
+        self.narrator.set_table(Arc::clone(&table));
+        self.engine.apply(table, zone);
+    }
+
+    /// Where its lines go.
+    pub fn log(&self) -> Dispatch {
+        self.log.clone()
+    }
+
+    /// Notes that the store does not answer.
+    pub fn store_lost(&mut self, now: Timestamp) {
+        let at = now.as_micros();
+        dispatcher::with_default(&self.log, || tracing::warn!(at, "store lost"));
+        self.directory.store_lost();
+    }
+
+    /// Writes what was decided.
+    pub fn narrate(&mut self, now: Timestamp) {
+        let (engine, narrator) = (&mut self.engine, &mut self.narrator);
+        dispatcher::with_default(&self.log, || {
+            engine.take_events().for_each(|event| narrator.on_event(now, &event));
+            narrator.on_tick(now);
+        });
     }
 
     /// Whether routers are told that packets may come.
--- a/crates/fakes/src/steered/fault.rs
+++ b/crates/fakes/src/steered/fault.rs
@@ -33,12 +33,20 @@
         StoreRefuses(Duration),
         /// The store drops its history.
         HistoryGone,
+        /// Every upstream dies without a word, and their records stay.
+        UpstreamsSilent,
+        /// An upstream says that it leaves, and is gone in a moment.
+        UpstreamLeavesAtOnce,
+        /// All zones are taken out of service, then back.
+        ServiceOut(Duration),
+        /// A new version drops the route; a later one has it again.
+        RouteDropped(Duration),
         /// A new version moves the route to the other service.
         RouteMoved,
     }
 }
 
-/// Every fault, with times like those of the platform's days.
+/// The faults that a service outlives, with times like those of the platform's days.
 pub const ALL: [Fault; 15] = [
     Fault::UpstreamDies,
     Fault::UpstreamsSlow(Duration::from_secs(4)),
--- a/crates/fakes/src/steered/mod.rs
+++ b/crates/fakes/src/steered/mod.rs
@@ -12,5 +12,5 @@
 pub mod world;
 
 pub use fault::Fault;
-pub use seen::Seen;
+pub use seen::{Failure, Seen};
 pub use world::{Config, World};
--- a/crates/fakes/src/steered/seen.rs
+++ b/crates/fakes/src/steered/seen.rs
@@ -5,7 +5,21 @@
 
 use indexmap::IndexMap;
 use stdx::time::Timestamp;
-use steer::UpstreamId;
+use steer::{FlowKey, UpstreamId};
+
+stdx::value! {
+    /// How a client's try ended without an answer.
+    pub enum Failure {
+        /// Refused before it was open.
+        Refused,
+        /// Nobody answered its opening.
+        Unanswered,
+        /// Open, then reset by an entry.
+        Reset,
+        /// Open, and not answered until the deadline.
+        Late,
+    }
+}
 
 /// Counts of outcomes, and every promise that was broken.
 #[derive(Debug, Clone, Default)]
@@ -25,6 +39,8 @@
     /// Open flows that were reset by an upstream whose answer to the opening came too late: the
     /// client's packet brought its token, and no entry remembered the opening.
     pub hedge_resets: u32,
+    /// Tries that failed, in order: when they were sent, and how they ended.
+    pub failures: Vec<(Timestamp, FlowKey, Failure)>,
     /// Broken promises, in words.
     pub broken: Vec<String>,
     cold: IndexMap<UpstreamId, VecDeque<Timestamp>>,
--- a/crates/fakes/src/steered/world.rs
+++ b/crates/fakes/src/steered/world.rs
@@ -10,6 +10,7 @@
 use stdx::time::Timestamp;
 use steer::decision::Hop;
 use steer::{FlowKey, Packet, Token, UpstreamId};
+use tracing::Dispatch;
 
 use super::entry::{BOUND, Entry};
 use super::fault::Fault;
@@ -107,6 +108,8 @@
     version: u64,
     route: usize,
     route_since: Timestamp,
+    /// Whether the newest version has no route.
+    dropped: bool,
     tries: IndexMap<FlowKey, Try>,
     next_port: u32,
     next_upstream: u64,
@@ -152,12 +155,18 @@
         Leave(UpstreamId),
         Relist,
         ZoneBack(usize),
+        RouteBack,
     }
 }
 
 impl World {
     /// A world whose entries have just started.
     pub fn new(cfg: Config) -> Self {
+        Self::with_logs(cfg, |_| Dispatch::none())
+    }
+
+    /// The same; `log` says where the lines of an entry go, by its name.
+    pub fn with_logs(cfg: Config, log: impl Fn(&str) -> Dispatch) -> Self {
         let now = Timestamp::from_secs(1_000);
         let mut world = Self {
             seen: Seen::default(),
@@ -176,6 +185,7 @@
             version: 0,
             route: 0,
             route_since: now,
+            dropped: false,
             tries: IndexMap::new(),
             next_port: 0,
             next_upstream: 0x10_0000,
@@ -187,7 +197,8 @@
         }
         for place in 0..cfg.entries {
             let (name, zone) = (format!("entry-{place}"), place % ZONES.len());
-            world.entries.push(Entry::start(now, &name, zone, 0));
+            let log = log(&name);
+            world.entries.push(Entry::start(now, &name, zone, 0, log));
             world.started(place);
         }
         world.at(Duration::from_millis(500), Event::Probe);
@@ -241,6 +252,27 @@
                 let id = self.any_upstream();
                 self.upstreams[&id].sheds_until = self.now + time;
             }
+            Fault::UpstreamsSilent => {
+                self.upstreams.values_mut().for_each(|upstream| upstream.alive = false);
+            }
+            Fault::UpstreamLeavesAtOnce => {
+                let id = self.any_upstream();
+                self.upstreams[&id].leaving_since = Some(self.now);
+                self.register(id);
+                self.at(Duration::from_millis(100), Event::Leave(id));
+            }
+            Fault::ServiceOut(time) => {
+                for (zone, name) in ZONES.iter().enumerate() {
+                    self.store.put(Subject::ZoneOut((*name).to_owned()), Some(Fact::ZoneOut));
+                    self.zones_out.insert(zone, self.now);
+                    self.at(time, Event::ZoneBack(zone));
+                }
+            }
+            Fault::RouteDropped(time) => {
+                self.dropped = true;
+                self.put_config();
+                self.at(time, Event::RouteBack);
+            }
             Fault::UpstreamReplaced => self.replace_upstream(),
             Fault::ZoneCut(time) => {
                 self.cut_until[zone] = self.now + time;
@@ -315,6 +347,10 @@
             Event::Leave(id) => self.on_leave(id),
             Event::Relist => self.relist(),
             Event::ZoneBack(zone) => self.on_zone_back(zone),
+            Event::RouteBack => {
+                self.dropped = false;
+                self.put_config();
+            }
         }
     }
 }
--- a/crates/fakes/src/steered/world/clients.rs
+++ b/crates/fakes/src/steered/world/clients.rs
@@ -1,5 +1,6 @@
 //! Clients: copies, retries, what they see.
 
+use super::super::seen::Failure;
 use super::{
     AIM, DEADLINE, Event, REFUSAL_BYTES, RESEND, RESPONSE_BYTES, ROUTE, THINK, Try, World, ZONES,
     later, opening,
@@ -49,7 +50,8 @@
     }
 
     pub(super) fn on_give_up(&mut self, flow: &FlowKey) {
-        if self.tries.get(flow).is_some_and(|tried| tried.open.is_none()) {
+        if let Some(tried) = self.tries.get(flow).filter(|tried| tried.open.is_none()) {
+            self.seen.failures.push((tried.sent, *flow, Failure::Unanswered));
             self.retry(flow);
         }
     }
@@ -88,7 +90,9 @@
             return;
         };
         if self.now.since(tried.began) >= DEADLINE {
-            self.send_to_entry(Packet { fin: true, ..later(*flow, tried.token, ack) });
+            let packet = Packet { fin: true, ..later(*flow, tried.token, ack) };
+            self.seen.failures.push((tried.sent, *flow, Failure::Late));
+            self.send_to_entry(packet);
             self.tries.swap_remove(flow);
             return;
         }
@@ -141,11 +145,15 @@
             let moved = self.now.since(self.route_since) < Duration::from_secs(20);
             let by_loser = from.is_some_and(|from| from != id && tried.answered.contains(&from));
             self.seen.hedge_resets += u32::from(holds && by_loser);
+            if from.is_none() {
+                self.seen.failures.push((tried.sent, *flow, Failure::Reset));
+            }
             if holds && !by_loser && from != Some(id) && !(from.is_none() && moved) {
                 self.seen.breaks(self.now, format!("an open flow was reset, by {from:x?}"));
             }
         } else if from.is_none() {
             self.seen.refused += 1;
+            self.seen.failures.push((tried.sent, *flow, Failure::Refused));
         }
         self.retry(flow);
     }
--- a/crates/fakes/src/steered/world/entries.rs
+++ b/crates/fakes/src/steered/world/entries.rs
@@ -48,7 +48,7 @@
 
     pub(super) fn schedule_timers(&mut self, place: usize) {
         let entry = &mut self.entries[place];
-        entry.engine.take_events();
+        entry.narrate(self.now);
         entry.tell_silence();
         let (life, asks) = (entry.life, entry.reach.is_asking());
         if let Some(at) = entry.engine.next_timer() {
@@ -134,7 +134,8 @@
 
     pub(super) fn on_start(&mut self, place: usize) {
         let Entry { name, zone, life, .. } = &self.entries[place];
-        self.entries[place] = Entry::start(self.now, &name.clone(), *zone, life + 1);
+        let log = self.entries[place].log();
+        self.entries[place] = Entry::start(self.now, &name.clone(), *zone, life + 1, log);
         self.started(place);
     }
 
--- a/crates/fakes/src/steered/world/following.rs
+++ b/crates/fakes/src/steered/world/following.rs
@@ -106,7 +106,7 @@
     pub(super) fn lost(&mut self, place: usize, wait: Duration) {
         let entry = &mut self.entries[place];
         entry.follow.on_answer(self.now, Answer::Lost);
-        entry.directory.store_lost();
+        entry.store_lost(self.now);
         let life = entry.life;
         self.at(wait, Event::Follow(place, life));
     }
@@ -119,7 +119,7 @@
         let entry = &mut self.entries[place];
         if refused {
             entry.follow.on_answer(now, Answer::Refused);
-            entry.directory.store_lost();
+            entry.store_lost(now);
         } else {
             let (records, revision) = self.store.load();
             entry.follow.on_answer(now, Answer::Loaded(revision));
@@ -147,7 +147,7 @@
             Err(answer) => {
                 let entry = &mut self.entries[place];
                 entry.follow.on_answer(now, answer);
-                entry.directory.store_lost();
+                entry.store_lost(now);
                 self.at(STORE_DELAY, Event::Follow(place, life));
                 return;
             }
@@ -201,11 +201,9 @@
             cold_opens_per_s: 0.0,
         });
         let targets = vec![(SERVICES[self.route].to_owned(), 1)];
-        let config = RouteConfig {
-            version: self.version,
-            routes: vec![RouteSpec { addr: ROUTE, targets }],
-            services: services.to_vec(),
-        };
+        let mut routes = vec![RouteSpec { addr: ROUTE, targets }];
+        routes.retain(|_| !self.dropped);
+        let config = RouteConfig { version: self.version, routes, services: services.to_vec() };
         self.store.put(Subject::Config, Some(Fact::Config(config)));
     }
 }
--- a/crates/ibis-explain/src/line.rs
+++ b/crates/ibis-explain/src/line.rs
@@ -27,6 +27,9 @@
     /// The reason of a refusal.
     #[serde(default)]
     pub reason: Option<String>,
+    /// The kind of lines that were left out.
+    #[serde(default)]
+    pub kind: Option<String>,
     /// The whole line.
     #[serde(skip)]
     pub text: String,
--- a/crates/ibis-explain/src/main.rs
+++ b/crates/ibis-explain/src/main.rs
@@ -25,6 +25,13 @@
     default: None,
 };
 
+const AT: Setting = Setting {
+    flag: "--at",
+    env: "IBIS_EXPLAIN_AT",
+    help: "when the request was sent, in Unix seconds; tells more of a flow without lines",
+    default: None,
+};
+
 const ABOUT: &str = "ibis-explain: what became of a flow, from the logs of all entries
 
   --json     one JSON object: the cause, and the lines
@@ -34,12 +41,13 @@
 fn main() -> ExitCode {
     let mut reader = Reader::from_process();
     if reader.wants_help() {
-        print!("{}", settings::help(ABOUT, &[FLOW, LOGS]));
+        print!("{}", settings::help(ABOUT, &[FLOW, LOGS, AT]));
         return ExitCode::SUCCESS;
     }
     let json = reader.switch("--json");
     let flow = reader.value(&FLOW, String::new());
     let logs: Vec<String> = reader.list(&LOGS);
+    let at: Vec<f64> = reader.list(&AT);
     if let Err(problems) = reader.finish() {
         eprint!("{problems}");
         return ExitCode::from(EXIT_USAGE);
@@ -54,7 +62,8 @@
             }
         }
     }
-    let course = explain(&lines, &flow);
+    let at = at.first().map(|at| (at * 1e6) as u64);
+    let course = explain(&lines, &flow, at);
     if json {
         let lines: Vec<&str> = course.lines.iter().map(|line| line.text.as_str()).collect();
         let cause = course.cause.to_string();
--- a/crates/ibis-explain/tests/explain.rs
+++ b/crates/ibis-explain/tests/explain.rs
@@ -9,7 +9,7 @@
 use node::narrate::Narrator;
 use stdx::time::Timestamp;
 use steer::table::ServiceId;
-use steer::{Event, FlowKey, Refusal, Table, Upstream, UpstreamId, ZoneId};
+use steer::{Event, Failure, FlowKey, Refusal, Table, Upstream, UpstreamId, ZoneId};
 
 const UP: UpstreamId = UpstreamId(0xAB);
 const NAMED: &str = "ab@10.0.0.1:80/a";
@@ -77,7 +77,7 @@
 }
 
 fn cause(events: &[(u64, Event)]) -> Cause {
-    explain(&lines(events), "100.64.0.7:4000").cause
+    explain(&lines(events), "100.64.0.7:4000", None).cause
 }
 
 fn opened() -> Event {
@@ -135,15 +135,39 @@
 #[test]
 fn explain_nothing_written() {
     let other = read("entry-2", r#"{"timestamp":"t","level":"INFO","message":"started"}"#);
-    assert_eq!(explain(&other, "1.2.3.4:5").cause, Cause::EntryStarted("entry-2".to_owned()));
-    assert_eq!(explain(&[], "1.2.3.4:5").cause, Cause::Unknown);
+    assert_eq!(explain(&other, "1.2.3.4:5", None).cause, Cause::EntryStarted("entry-2".to_owned()));
+    assert_eq!(explain(&[], "1.2.3.4:5", None).cause, Cause::Unknown);
+}
+
+/// With the time of the request, an entry that started long before is no cause.
+#[test]
+fn explain_started_long_before() {
+    let started = r#"{"timestamp":"t","message":"started","at":1000000}"#;
+    let left_out =
+        r#"{"timestamp":"t","message":"lines left out","kind":"opening refused","at":60000000}"#;
+    let lines = read("entry-2", &format!("{started}\n{left_out}\n"));
+    let cause = |at| explain(&lines, "1.2.3.4:5", Some(at)).cause;
+    assert_eq!(cause(2_000_000), Cause::EntryStarted("entry-2".to_owned()));
+    assert_eq!(cause(61_000_000), Cause::LinesLeftOut("entry-2".to_owned()));
+    assert_eq!(cause(90_000_000), Cause::Unknown);
+}
+
+#[test]
+fn explain_answer_failed() {
+    let failed = |failure| {
+        let waited = Duration::from_millis(300);
+        let event = Event::AnswerFailed { flow: flow(), upstream: UP, failure, waited };
+        cause(&[(0, opened()), (7, accepted()), (320, event)])
+    };
+    assert_eq!(failed(Failure::Silent), Cause::AnswerSilent(NAMED.to_owned()));
+    assert_eq!(failed(Failure::Short), Cause::AnswerShort(NAMED.to_owned()));
 }
 
 #[test]
 fn explain_by_both_ends() {
     let lines = lines(&[(0, opened()), (7, accepted())]);
-    assert_eq!(explain(&lines, "100.64.0.7:4000>198.18.0.1:443").lines.len(), 2);
-    assert_eq!(explain(&lines, "100.64.0.7:4000>198.18.0.1:80").lines.len(), 0);
+    assert_eq!(explain(&lines, "100.64.0.7:4000>198.18.0.1:443", None).lines.len(), 2);
+    assert_eq!(explain(&lines, "100.64.0.7:4000>198.18.0.1:80", None).lines.len(), 0);
 }
 
 #[test]
--- a/crates/node/src/narrate.rs
+++ b/crates/node/src/narrate.rs
@@ -258,7 +258,7 @@
         for (kind, limit) in kinds {
             let left_out = limit.take_left_out();
             if left_out > 0 {
-                tracing::info!(kind, left_out, "lines left out");
+                tracing::info!(at = now.as_micros(), kind, left_out, "lines left out");
             }
         }
     }
