--- a/crates/directory/src/fact.rs
+++ b/crates/directory/src/fact.rs
@@ -53,6 +53,8 @@
         pub zone: String,
         /// Start of its process, Unix milliseconds.
         pub incarnation: u64,
+        /// Capacity of its link in Mbit/s; 0 if it does not say.
+        pub link_mbps: u32,
     }
 }
 
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -13,4 +13,4 @@
 pub use believed::{Directory, Settings, Shift};
 pub use fact::{Config, Fact, Member, Record, RouteSpec, ServiceSpec, Subject, UpstreamSpec};
 pub use follow::{Answer, Ask, Follow, Pace};
-pub use relay::{Reading, Relay, Role, Source};
+pub use relay::{Own, Reading, Relay, Role, Source};
--- a/crates/directory/src/relay.rs
+++ b/crates/directory/src/relay.rs
@@ -5,6 +5,7 @@
 //! counts from the store's last answer to the reader and grows on the way; who is told too old things
 //! reads the store itself.
 
+use std::cmp::Reverse;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -77,30 +78,54 @@
     distrusted: IndexMap<SocketAddrV4, Timestamp>,
 }
 
-/// The role of the entry `own`, of `members` with their names, which may lack it. All entries that see
-/// the same members agree.
-pub fn role<'a>(
-    own: &str,
-    zone: &str,
-    members: impl Iterator<Item = (&'a str, &'a Member)>,
-) -> Role {
-    let others = members.filter(|(name, member)| member.zone == zone && *name != own);
-    let mut ranked: Vec<(u64, &str, Option<SocketAddrV4>)> = others
-        .map(|(name, member)| (hash::mix(hash::of_name(name)), name, Some(member.addr)))
+/// An entry that asks for its role.
+#[derive(Debug, Clone, Copy)]
+pub struct Own<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its availability zone.
+    pub zone: &'a str,
+    /// Capacity of its link in Mbit/s.
+    pub link_mbps: u32,
+}
+
+/// The place of an entry among those of its zone, best reader first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank<'a> {
+    link: Reverse<u32>,
+    number: u64,
+    name: &'a str,
+    /// Where it passes changes on; `None` for the entry that asks.
+    addr: Option<SocketAddrV4>,
+}
+
+/// The role of an entry, of `members` with their names, which may lack it. All entries that see the
+/// same members agree. Those with the widest links read, for a reader sends more than it reads.
+pub fn role<'a>(own: Own<'a>, members: impl Iterator<Item = (&'a str, &'a Member)>) -> Role {
+    let rank = |name: &'a str, link_mbps: u32, addr| Rank {
+        link: Reverse(link_mbps),
+        number: hash::mix(hash::of_name(name)),
+        name,
+        addr,
+    };
+    let mut ranked: Vec<Rank<'_>> = members
+        .filter(|(name, member)| member.zone == own.zone && *name != own.name)
+        .map(|(name, member)| rank(name, member.link_mbps, Some(member.addr)))
         .collect();
-    ranked.push((hash::mix(hash::of_name(own)), own, None));
+    ranked.push(rank(own.name, own.link_mbps, None));
     ranked.sort_unstable();
     let readers = READERS_LEAST.max(ranked.len().div_ceil(FOLLOWERS_A_READER));
     if ranked.len() <= readers {
         return Role::Alone;
     }
     ranked.truncate(readers);
-    if ranked.iter().any(|(_, _, addr)| addr.is_none()) {
+    if ranked.iter().any(|rank| rank.addr.is_none()) {
         return Role::Reader;
     }
     // Followers begin with different readers.
-    ranked.sort_unstable_by_key(|(rank, _, _)| hash::mix(rank ^ hash::of_name(own)));
-    Role::Follower(ranked.into_iter().filter_map(|(_, _, addr)| addr).collect())
+    let own = hash::of_name(own.name);
+    ranked.sort_unstable_by_key(|rank| hash::mix(rank.number ^ own));
+    Role::Follower(ranked.into_iter().filter_map(|rank| rank.addr).collect())
 }
 
 impl Role {
--- a/crates/directory/tests/believed.rs
+++ b/crates/directory/tests/believed.rs
@@ -332,7 +332,7 @@
     let mut directory = loaded();
     let member = |name: &str, revision| {
         let addr = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
-        let member = Member { addr, zone: "a".to_owned(), incarnation: 1 };
+        let member = Member { addr, zone: "a".to_owned(), incarnation: 1, link_mbps: 0 };
         let subject = Subject::Member(name.to_owned());
         Record { subject, revision, created: 1, fact: Some(Fact::Member(member)) }
     };
--- a/crates/directory/tests/relay.rs
+++ b/crates/directory/tests/relay.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use directory::{Member, Reading, Relay, Role, Source, relay};
+use directory::{Member, Own, Reading, Relay, Role, Source, relay};
 use proptest::prelude::*;
 use stdx::time::Timestamp;
 
@@ -22,6 +22,7 @@
         addr: addr(number),
         zone: format!("zone-{}", number % zones),
         incarnation: 1,
+        link_mbps: 10,
     };
     (0..count).map(|number| (format!("entry-{number}"), member(number))).collect()
 }
@@ -29,7 +30,8 @@
 fn role(fleet: &[(String, Member)], own: usize) -> Role {
     let (name, member) = &fleet[own];
     let members = fleet.iter().map(|(name, member)| (name.as_str(), member));
-    relay::role(name, &member.zone, members)
+    let own = Own { name, zone: &member.zone, link_mbps: member.link_mbps };
+    relay::role(own, members)
 }
 
 fn reading(source: Source) -> Reading {
@@ -74,6 +76,18 @@
     assert!(first.values().all(|count| *count < 50), "{first:?}");
 }
 
+/// What a reader passes on takes a multiple of its link.
+#[test]
+fn role_widest_links_read() {
+    let mut fleet = fleet(40, 4);
+    for (_, member) in &mut fleet[20..28] {
+        member.link_mbps = 200;
+    }
+    let readers: Vec<usize> =
+        (0..fleet.len()).filter(|own| role(&fleet, *own) == Role::Reader).collect();
+    assert_eq!(readers, (20..28).collect::<Vec<_>>());
+}
+
 /// At the target's size the calls of readers stay far below the store's rate.
 #[test]
 fn role_target_size() {
--- a/crates/fakes/src/steered/entry.rs
+++ b/crates/fakes/src/steered/entry.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use directory::{Directory, Follow, Pace, Relay, Role, relay};
+use directory::{Directory, Follow, Own, Pace, Relay, Role, relay};
 use health::Reach;
 use node::narrate::Narrator;
 use stdx::time::Timestamp;
@@ -82,7 +82,8 @@
 
     /// What it does for the other entries of its zone.
     pub fn role(&self, zone: &str) -> Role {
-        relay::role(&self.name, zone, self.directory.members())
+        let own = Own { name: &self.name, zone, link_mbps: 0 };
+        relay::role(own, self.directory.members())
     }
 
     /// Takes over what is believed now.
--- a/crates/fakes/src/steered/world/entries.rs
+++ b/crates/fakes/src/steered/world/entries.rs
@@ -143,7 +143,8 @@
         let entry = &self.entries[place];
         let (name, life) = (entry.name.clone(), entry.life);
         let zone = ZONES[entry.zone].to_owned();
-        let member = Member { addr: member_addr(place), zone, incarnation: u64::from(life) };
+        let member =
+            Member { addr: member_addr(place), zone, incarnation: u64::from(life), link_mbps: 0 };
         self.store.put(Subject::Member(name), Some(Fact::Member(member)));
         self.at(Duration::from_millis(5), Event::Follow(place, life));
     }
