Count no failure against an upstream while most others of its service fail just now

Change: the others' failures of the last quarter of a second count as well as those of the last seconds; an entry whose others fail, too, tells no news; the patience is 2 s until 16 answers were seen.

--- a/crates/health/src/outlier.rs
+++ b/crates/health/src/outlier.rs
@@ -14,6 +14,10 @@
 /// follow one that changes.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// The same for what happens to all upstreams at once, such as this entry's own slowness: little more
+/// than the time that an answer is waited for.
+const HALF_LIFE_LATELY: Duration = Duration::from_millis(250);
+
 /// Failed answers that show more than chance; one can be a client that went away.
 const EVIDENCE: f64 = 1.8;
 
@@ -96,6 +100,7 @@
     seen: Weights,
     /// Answers seen here.
     own: Weights,
+    own_lately: Weights,
     /// The last entry that told of a failed answer, and whether another one had before.
     source: Option<u64>,
     several: bool,
@@ -115,19 +120,21 @@
 
 /// The upstreams of one service, as far as this entry has seen itself: what others tell is about
 /// upstreams that fail, and would make failing look usual.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 struct Group {
     members: usize,
     ejected: usize,
     seen: Weights,
+    lately: Weights,
 }
 
 /// Counts that fade.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 struct Weights {
     good: f64,
     failed: f64,
     at: Timestamp,
+    half_life: Duration,
 }
 
 impl<K: Copy + Eq + Hash, G: Copy + Eq + Hash> Outliers<K, G> {
@@ -143,7 +150,7 @@
         for (key, service) in members {
             let state = known.swap_remove(&key).filter(|state| state.service == service);
             let state = state.unwrap_or_else(|| State::new(service));
-            let group = self.services.entry(service).or_default();
+            let group = self.services.entry(service).or_insert_with(Group::new);
             group.members += 1;
             group.ejected += usize::from(!matches!(state.phase, Phase::Sound));
             self.upstreams.insert(key, state);
@@ -173,8 +180,10 @@
         state.news.0 += good;
         state.news.1 += failed;
         state.own.add(now, good, failed);
+        state.own_lately.add(now, good, failed);
         if let Some(group) = self.services.get_mut(&state.service) {
             group.seen.add(now, good, failed);
+            group.lately.add(now, good, failed);
         }
         self.take(now, key, good, failed)
     }
@@ -192,13 +201,17 @@
         self.take(now, tally.key, tally.good.min(MESSAGE_MOST), tally.failed.min(MESSAGE_MOST))
     }
 
-    /// What was seen here since the last call of upstreams that other entries should know about.
+    /// What was seen here since the last call of upstreams that other entries should know about. While
+    /// most others fail here, too, this entry has no news but its own trouble.
     pub fn take_news(&mut self, now: Timestamp) -> Vec<Tally<K>> {
         let mut news = Vec::new();
         for (key, state) in &mut self.upstreams {
             let (good, failed) = std::mem::take(&mut state.news);
             let suspect = state.phase != Phase::Sound || state.seen.at(now).failed >= FADED;
-            if good + failed > 0 && suspect && news.len() < NEWS_MOST {
+            let group = self.services.get(&state.service);
+            let usual = group.map_or(0.0, |group| group.others_failed(now, state));
+            let stands_out = FAILED_OVER_OTHERS * usual <= 1.0;
+            if good + failed > 0 && suspect && stands_out && news.len() < NEWS_MOST {
                 news.push(Tally { key: *key, good, failed });
             }
         }
@@ -260,8 +273,7 @@
         };
         let seen = state.seen.at(now);
         let own = state.own.at(now);
-        let others = group.seen.at(now).without(own).part_failed();
-        let bound = FAILED_LEAST.max(FAILED_OVER_OTHERS * others);
+        let bound = FAILED_LEAST.max(FAILED_OVER_OTHERS * group.others_failed(now, state));
         let has_room = (group.ejected + 1) * EJECTED_PARTS <= group.members;
         // One entry alone may have lost its way to the upstream; that is then its own matter.
         let shown = own.failed >= EVIDENCE || state.several;
@@ -310,6 +322,7 @@
             service,
             seen: Weights::default(),
             own: Weights::default(),
+            own_lately: Weights::lately(),
             source: None,
             several: false,
             news: (0, 0),
@@ -320,7 +333,32 @@
     }
 }
 
+impl Group {
+    fn new() -> Self {
+        Self { members: 0, ejected: 0, seen: Weights::default(), lately: Weights::lately() }
+    }
+
+    /// The part of its answers that the others of an upstream's service fail, over the last seconds or
+    /// just now, whichever is more.
+    fn others_failed<G>(&self, now: Timestamp, state: &State<G>) -> f64 {
+        let seen = self.seen.at(now).without(state.own.at(now)).part_failed();
+        let lately = self.lately.at(now).without(state.own_lately.at(now)).part_failed();
+        seen.max(lately)
+    }
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self { good: 0.0, failed: 0.0, at: Timestamp::default(), half_life: HALF_LIFE }
+    }
+}
+
 impl Weights {
+    /// Counts that fade soon.
+    fn lately() -> Self {
+        Self { half_life: HALF_LIFE_LATELY, ..Self::default() }
+    }
+
     fn add(&mut self, now: Timestamp, good: u32, failed: u32) {
         *self = self.at(now);
         self.good += f64::from(good);
@@ -329,9 +367,9 @@
 
     /// The counts as they have faded by `now`.
     fn at(&self, now: Timestamp) -> Self {
-        let halvings = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let halvings = now.since(self.at).as_secs_f64() / self.half_life.as_secs_f64();
         let left = (-halvings).exp2();
-        Self { good: self.good * left, failed: self.failed * left, at: now.max(self.at) }
+        Self { good: self.good * left, failed: self.failed * left, at: now.max(self.at), ..*self }
     }
 
     /// What is left without a part of the counts.
@@ -339,7 +377,7 @@
         Self {
             good: (self.good - part.good).max(0.0),
             failed: (self.failed - part.failed).max(0.0),
-            at: self.at,
+            ..self
         }
     }
 
--- a/crates/health/tests/outlier.rs
+++ b/crates/health/tests/outlier.rs
@@ -64,6 +64,24 @@
     assert_eq!(ejected(&mut known, 5_000), []);
 }
 
+/// This entry stands still for a moment after a calm time: all answers are late, some come in time.
+#[test]
+fn note_own_hiccup_ejects_nobody_and_is_no_news() {
+    let mut known = known();
+    play(&mut known, 0, 3_000, |_, _| false);
+    known.take_news(at(3_000));
+    // Silence shows after the patience.
+    let mut told = 0;
+    for now in 3_200..3_400 {
+        let outcome = if now % 5 == 0 { Outcome::Good } else { Outcome::Failed };
+        known.note(at(now), now % 12, outcome);
+        if now % 100 == 99 {
+            told += known.take_news(at(now)).len();
+        }
+    }
+    assert_eq!((ejected(&mut known, 3_400), told), (Vec::new(), 0));
+}
+
 #[test]
 fn note_one_failure_ejects_nobody() {
     let mut known = known();
--- a/crates/steer/src/answers.rs
+++ b/crates/steer/src/answers.rs
@@ -20,7 +20,7 @@
 /// Weight of a new sample in the sizes' mean and deviation, as in RFC 6298.
 const GAIN: f64 = 1.0 / 16.0;
 
-/// Answers from which on sizes may be judged.
+/// Answers from which on others may be judged.
 const SAMPLES_LEAST: u32 = 16;
 
 /// Deviations below the mean, in logarithms, that are still usual: 1 in 700 of a log-normal size.
@@ -44,6 +44,9 @@
 impl Usual {
     /// The wait after which an answer counts as missing.
     pub fn patience(&self) -> Duration {
+        if self.samples < SAMPLES_LEAST {
+            return PATIENCE_MOST;
+        }
         let late = self.first_byte.late_after(Duration::ZERO, PATIENCE_MOST);
         (late * PATIENCE_TIMES).clamp(PATIENCE_LEAST, PATIENCE_MOST)
     }
