A fault soak of the real programs on loopback

Change: platform/tests/soak runs four ibis-node processes between routers, upstreams, clients and a store of our own. Kills, stops, freezes, a silent, refusing or breaking store, lapses, lost history, one-way cuts, crashes, drains, new configurations and reloads come by seed, in series and overlapping.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,7 @@
 mod keys;
 mod measure;
 mod repo;
+mod soak;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -29,6 +30,8 @@
                --entries IP,...    addresses of the entries
   measure    measure against the stated targets; exits with an error if a bound does not hold
                [NAME]              survival, balance, zone or slopes (default: all)
+  soak       run the programs of the platform under faults, on loopback
+               --seeds FIRST..END  which courses to play (default: those of CI)
   codegen    generate the protocol types that are committed
 ";
 
@@ -53,6 +56,10 @@
         Some("codegen") => done(args).and_then(|()| codegen::run()),
         Some("demo") => demo(args),
         Some("keys") => make_keys(args),
+        Some("soak") => {
+            let seeds: Option<String> = args.opt_value_from_str("--seeds")?;
+            done(args).and_then(|()| soak::run(seeds.as_deref()))
+        }
         Some("measure") => {
             let name: Option<String> = args.opt_free_from_str()?;
             done(args).and_then(|()| measure::run(name.as_deref()))
