Weigh the flows of an upstream by how much slower than usual it answers

Fewest own flows sends an idle slow upstream as much as an idle fast one. Ruled out: ejection (they answer, and are of use in a burst), reported load (it lags), the time of openings (usual there).

Change: the time to an answer's first byte, as a multiple of what is usual on its address, is followed for each upstream; from twice as slow on, its flows weigh as many times more. What is known fades by half in 2 s, so that it is tried again.

--- a/crates/steer/src/answers.rs
+++ b/crates/steer/src/answers.rs
@@ -51,9 +51,13 @@
         (late * PATIENCE_TIMES).clamp(PATIENCE_LEAST, PATIENCE_MOST)
     }
 
-    /// Takes the time from a request to the first byte of its answer.
-    pub fn observe_first_byte(&mut self, took: Duration) {
+    /// Takes the time from a request to the first byte of its answer. Returns it in thousandths of
+    /// what was usual, if that is known.
+    pub fn observe_first_byte(&mut self, took: Duration) -> Option<u32> {
+        let mean = self.first_byte.mean().as_secs_f64();
         self.first_byte.observe(took);
+        let known = self.samples >= SAMPLES_LEAST && mean > 0.0;
+        known.then(|| (took.as_secs_f64() / mean * 1e3) as u32)
     }
 
     /// Judges the bytes of an answer that has ended, and learns from it unless it is too short.
--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -41,6 +41,19 @@
 /// New flows a second that all entries together give an upstream on trial.
 const TRIAL_OPENS: u32 = 2;
 
+/// Weight of a new answer in how slow an upstream is: three answers tell.
+const SLOWNESS_GAIN: f64 = 0.3;
+
+/// Times slower than usual from which on an upstream gets less: cold starts and chance stay below.
+const SLOW_FROM: f64 = 2.0;
+
+/// Times slower that count at most.
+const SLOW_MOST: f64 = 8.0;
+
+/// Time after which half of what is known of an upstream's slowness is forgotten, in logarithms, so
+/// that it is tried again.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(2);
+
 /// Places of upstreams that were never picked.
 const ORDERS: u64 = 1 << 20;
 
@@ -66,6 +79,9 @@
     avoid_until: Timestamp,
     /// Until when the upstream, just returned, counts as cold.
     unproven_until: Timestamp,
+    /// How many times slower than usual its answers began, as a logarithm, and when that was seen.
+    slowness_ln: f64,
+    slowness_at: Timestamp,
     /// When this entry opened flows here while the upstream was cold or on trial.
     limited_opens: VecDeque<Timestamp>,
 }
@@ -113,7 +129,8 @@
         tier: Tier,
         /// Upstreams of its zone that were tried for this flow.
         tried_there: usize,
-        open: u32,
+        /// What one more flow would wait for, in usual answers.
+        wait: u32,
         remote: bool,
         last_pick: u64,
         id: UpstreamId,
@@ -153,7 +170,7 @@
     /// Chooses an upstream that `opening` was not sent to yet, and counts the flow there.
     ///
     /// Warm upstreams that answer come first. A further try goes to another zone, because the silent
-    /// one may be cut off. Then the one with the fewest own flows wins, then one of the own zone,
+    /// one may be cut off. Then the one with the fewest own flows wins, those of a slow one weighing more, then one of the own zone,
     /// then the one left alone the longest.
     ///
     /// # Errors
@@ -187,7 +204,7 @@
             let rank = Rank {
                 tier,
                 tried_there,
-                open: state.open,
+                wait: (state.open + 1) * state.times_slower(now),
                 remote,
                 last_pick: state.last_pick,
                 id: *id,
@@ -262,6 +279,16 @@
         if avoided { Struck::UpstreamAvoided } else { Struck::Counted }
     }
 
+    /// Notes how long the first byte of an answer took, in thousandths of what is usual.
+    pub fn began(&mut self, now: Timestamp, id: UpstreamId, slowness_milli: u32) {
+        if let Some(state) = self.upstreams.get_mut(&id) {
+            let ln = (f64::from(slowness_milli.max(1)) / 1e3).ln();
+            let known = state.slowness(now);
+            state.slowness_ln = known + SLOWNESS_GAIN * (ln - known);
+            state.slowness_at = now;
+        }
+    }
+
     /// Notes how an answer ended. Returns the upstream's standing if that changed.
     pub fn answered(
         &mut self,
@@ -389,6 +416,18 @@
 }
 
 impl State {
+    /// How many times slower than usual it is, as a logarithm; it fades.
+    fn slowness(&self, now: Timestamp) -> f64 {
+        let halvings = now.since(self.slowness_at).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
+        self.slowness_ln * (-halvings).exp2()
+    }
+
+    /// How many usual answers one of its takes.
+    fn times_slower(&self, now: Timestamp) -> u32 {
+        let times = self.slowness(now).exp();
+        if times < SLOW_FROM { 1 } else { times.min(SLOW_MOST).round() as u32 }
+    }
+
     fn new(upstream: &Upstream, last_pick: u64) -> Self {
         Self {
             started_ms: upstream.started_ms,
@@ -397,6 +436,8 @@
             strikes: 0,
             avoid_until: Timestamp::default(),
             unproven_until: Timestamp::default(),
+            slowness_ln: 0.0,
+            slowness_at: Timestamp::default(),
             limited_opens: VecDeque::new(),
         }
     }
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -331,6 +331,9 @@
             let patience = usual.patience();
             self.schedule(now + patience, &packet.flow);
         }
+        if let Some(slowness) = shown.slowness_milli {
+            self.choices.began(now, upstream, slowness);
+        }
         match shown.verdict {
             None => {}
             Some(Verdict::Good) => {
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -52,6 +52,9 @@
     pub struct Shown {
         /// Whether a request begins.
         pub asked: bool,
+        /// How long the first byte of an answer took, if it has just come, in thousandths of what is
+        /// usual; unknown while little was measured.
+        pub slowness_milli: Option<u32>,
         /// How the answer to the request before ended, if it did.
         pub verdict: Option<Verdict>,
     }
@@ -68,7 +71,7 @@
         let Some(known) = request else {
             return Self::begin(request, now, packet);
         };
-        known.take_ack(now, packet, usual);
+        let slowness_milli = known.take_ack(now, packet, usual);
         let more = packet.seq.wrapping_add(packet.data_len.into()).wrapping_sub(known.sent_to);
         let is_new = packet.data_len > 0 && more > 0 && more < AHEAD_MOST;
         if is_new && !known.begun && !known.judged {
@@ -78,7 +81,7 @@
         let ends = is_next || packet.fin || packet.rst;
         let verdict = if ends { known.judge(now, usual) } else { None };
         let asked = is_next && Self::begin(request, now, packet).asked;
-        Shown { asked, verdict }
+        Shown { asked, slowness_milli, verdict }
     }
 
     /// Whether nothing of the answer has come yet.
@@ -105,18 +108,19 @@
             begun: false,
             judged: false,
         });
-        Shown { asked: true, verdict: None }
+        Shown { asked: true, ..Shown::default() }
     }
 
-    fn take_ack(&mut self, now: Timestamp, packet: &Packet, usual: &mut Usual) {
+    fn take_ack(&mut self, now: Timestamp, packet: &Packet, usual: &mut Usual) -> Option<u32> {
         let more = packet.ack.wrapping_sub(self.acked);
         if !packet.acks || more == 0 || more >= AHEAD_MOST {
-            return;
+            return None;
         }
         self.acked = packet.ack;
-        if !std::mem::replace(&mut self.begun, true) {
-            usual.observe_first_byte(now.since(self.asked));
+        if std::mem::replace(&mut self.begun, true) {
+            return None;
         }
+        usual.observe_first_byte(now.since(self.asked))
     }
 
     fn judge(&mut self, now: Timestamp, usual: &mut Usual) -> Option<Verdict> {
--- a/crates/steer/tests/answers.rs
+++ b/crates/steer/tests/answers.rs
@@ -187,3 +187,56 @@
     assert_eq!(standings(&mut engine), []);
     assert_eq!(engine.take_news(at(5_100)), []);
 }
+
+/// Plays 400 answers, a sixth of a second's work apart, where `slow` takes eight times as long.
+/// Returns how many it got.
+fn share_of_slow(engine: &mut Engine, from: u64, slow: Option<UpstreamId>) -> usize {
+    let mut reached = 0;
+    // Answers that are still to come: when, the port and the upstream.
+    let mut pending: Vec<(u64, u16, UpstreamId)> = Vec::new();
+    for number in 0..400_u16 {
+        let now = from + u64::from(number) * 10;
+        pending.retain(|(due, port, id)| {
+            if *due <= now {
+                finish(engine, at(*due), *port, *id, USUAL);
+            }
+            *due > now
+        });
+        let port = 10_000 + (from as u16 % 7) * 1_000 + number;
+        let id = ask(engine, at(now), port);
+        reached += usize::from(Some(id) == slow);
+        pending.push((now + if Some(id) == slow { 160 } else { 20 }, port, id));
+    }
+    for (due, port, id) in pending {
+        finish(engine, at(due), port, id, USUAL);
+    }
+    reached
+}
+
+/// It says that it is well and answers everything, eight times as late as the others.
+#[test]
+fn pick_slow_upstream_gets_less() {
+    let mut engine = experienced();
+    let slow = UpstreamId(0x103);
+    let reached = share_of_slow(&mut engine, 5_000, Some(slow));
+    assert!((3..=25).contains(&reached), "{reached} of 400, of six upstreams");
+}
+
+/// What is known of its slowness fades, so that it is tried and found to be as fast as the others.
+#[test]
+fn pick_slow_upstream_recovers() {
+    let mut engine = experienced();
+    let slow = UpstreamId(0x103);
+    share_of_slow(&mut engine, 5_000, Some(slow));
+    share_of_slow(&mut engine, 9_001, None);
+    let reached = (0..100)
+        .filter(|number| {
+            let now = at(14_000 + number * 30);
+            let port = 30_000 + *number as u16;
+            let id = ask(&mut engine, now, port);
+            finish(&mut engine, now + Duration::from_millis(20), port, id, USUAL);
+            id == slow
+        })
+        .count();
+    assert!(reached >= 30, "{reached} of 100, of two in the own zone");
+}
