Tell entries on a ring of upstreams that fail, and look at upstreams with news only

Cause: read in the diff: an entry told the first 48 of its list, so that in a larger fleet all told the same 48 and the rest heard nothing; and each 100 ms it worked out the fading counts of every upstream. Change: those that follow it on a ring of hashes are told; upstreams without a new answer are passed over. Sites of up to 49 entries are told as before.

--- a/crates/health/src/outlier.rs
+++ b/crates/health/src/outlier.rs
@@ -207,11 +207,14 @@
         let mut news = Vec::new();
         for (key, state) in &mut self.upstreams {
             let (good, failed) = std::mem::take(&mut state.news);
+            if good + failed == 0 || news.len() >= NEWS_MOST {
+                continue;
+            }
             let suspect = state.phase != Phase::Sound || state.seen.at(now).failed >= FADED;
             let group = self.services.get(&state.service);
             let usual = group.map_or(0.0, |group| group.others_failed(now, state));
             let stands_out = FAILED_OVER_OTHERS * usual <= 1.0;
-            if good + failed > 0 && suspect && stands_out && news.len() < NEWS_MOST {
+            if suspect && stands_out {
                 news.push(Tally { key: *key, good, failed });
             }
         }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -5,11 +5,12 @@
 use std::sync::mpsc::{Receiver, Sender, TryRecvError};
 use std::time::Duration;
 
-use directory::{Directory, Record};
+use directory::{Directory, Member, Record};
 use health::{Reach, Tally};
 use kameo::Actor;
 use kameo::message::{Context, Message};
 use peer_proto::v1;
+use stdx::hash;
 use stdx::time::{Clock, Timestamp};
 use steer::{Table, UpstreamId};
 use tokio::net::UdpSocket;
@@ -283,6 +284,21 @@
     }
 }
 
+/// The entries that `own` tells of failed answers: those that follow it on a ring of all, so that each
+/// one is told by as many as it tells.
+pub fn to_be_told<'a>(
+    own: &str,
+    members: impl Iterator<Item = (&'a str, &'a Member)>,
+) -> Vec<SocketAddrV4> {
+    let place = |name: &str| hash::mix(hash::of_name(name));
+    let own_place = place(own);
+    let others = members.filter(|(name, _)| *name != own);
+    let mut ring: Vec<(u64, SocketAddrV4)> =
+        others.map(|(name, member)| (place(name).wrapping_sub(own_place), member.addr)).collect();
+    ring.sort_unstable();
+    ring.into_iter().take(TOLD_MOST).map(|(_, addr)| addr).collect()
+}
+
 impl Message<Spread> for Control {
     type Reply = ();
 
@@ -294,11 +310,9 @@
         });
         let answers = v1::Answers { tallies: tallies.collect() };
         let bytes = peer_proto::encode_reach(v1::reach::Kind::Answers(answers));
-        let own = self.name.as_str();
-        let others = self.directory.members().filter(|(name, _)| *name != own);
-        for (_, member) in others.take(TOLD_MOST) {
-            if let Err(e) = self.socket.try_send_to(&bytes, member.addr.into()) {
-                tracing::debug!(error = %e, to = %member.addr, "news not sent");
+        for addr in to_be_told(&self.name, self.directory.members()) {
+            if let Err(e) = self.socket.try_send_to(&bytes, addr.into()) {
+                tracing::debug!(error = %e, to = %addr, "news not sent");
             }
         }
     }
