--- a/crates/steer/src/choice.rs
+++ b/crates/steer/src/choice.rs
@@ -34,8 +34,8 @@
 /// way, and an entry that others do not know yet.
 const COLD_PERCENT: u32 = 80;
 
-/// Time over which new flows at a cold upstream, or one on trial, are counted: the limit holds for any second, and
-/// packets that were sent further apart may arrive closer together.
+/// Time over which new flows at a cold upstream, or one on trial, are counted: the limit holds for any
+/// second, and packets that were sent further apart may arrive closer together.
 const LIMIT_WINDOW: Duration = Duration::from_millis(1_100);
 
 /// New flows a second that all entries together give an upstream on trial.
@@ -170,7 +170,8 @@
     /// Chooses an upstream that `opening` was not sent to yet, and counts the flow there.
     ///
     /// Warm upstreams that answer come first. A further try goes to another zone, because the silent
-    /// one may be cut off. Then the one with the fewest own flows wins, those of a slow one weighing more, then one of the own zone,
+    /// one may be cut off. Then the one with the fewest own flows wins, those of a slow one weighing
+    /// more, then one of the own zone,
     /// then the one left alone the longest.
     ///
     /// # Errors
