Count the instructions of a packet and of an opening

Change: measure path runs courses under valgrind, where it is installed, and takes differences. Ruled out: processor counters, which this machine does not have.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -53,6 +53,13 @@
     }
     match args.subcommand()?.as_deref() {
         Some("ci") => done(args).and_then(|()| ci::run()),
+        // Not listed: what `measure path` runs to count instructions.
+        Some("course") => {
+            let mut number = || args.free_from_str::<u32>();
+            let (upstreams, flows, packets) = (number()?, number()?, number()?);
+            measure::path::course(upstreams, flows, packets);
+            done(args)
+        }
         Some("codegen") => done(args).and_then(|()| codegen::run()),
         Some("demo") => demo(args),
         Some("keys") => make_keys(args),
--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -3,7 +3,7 @@
 //! Each prints `measure NAME VALUE UNIT bound OP LIMIT pass|fail`, a baseline `bound none`.
 
 mod balance;
-mod path;
+pub mod path;
 mod report;
 mod slopes;
 mod survival;
--- a/xtask/src/measure/path.rs
+++ b/xtask/src/measure/path.rs
@@ -1,9 +1,12 @@
 //! What the decision code costs on the platform: a packet of an open flow, and an opening.
 //!
 //! Times are of this machine and build; only their growth with the number of upstreams matters.
+//! Instructions are counted by valgrind, where it is installed, and are the same in each run.
 
+use std::env;
 use std::hint::black_box;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::process::Command;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -47,9 +50,56 @@
         let per_opening = opening_time.as_secs_f64() * 1e9 / f64::from(OPENINGS);
         report.line(&format!("path.packet_ns.{upstreams}"), per_packet, "ns", Bound::None);
         report.line(&format!("path.opening_ns.{upstreams}"), per_opening, "ns", Bound::None);
+        if let Some((packet, opening)) = instructions(upstreams) {
+            let name = format!("path.packet_instructions.{upstreams}");
+            report.line(&name, packet, "instructions", Bound::None);
+            let name = format!("path.opening_instructions.{upstreams}");
+            report.line(&name, opening, "instructions", Bound::None);
+        }
+    }
+}
+
+/// A course of `flows` flows with `packets` packets each, for counting its instructions.
+pub fn course(upstreams: u32, flows: u32, packets: u32) {
+    let mut engine = engine(upstreams);
+    for number in 0..flows {
+        let now = NOW + Duration::from_millis(u64::from(number));
+        let Action::Forward(hop) = engine.on_packet(now, &opening(number), &[0; 36]) else {
+            continue;
+        };
+        for step in 0..packets {
+            black_box(engine.on_packet(now, &later(number, hop.token, step), &[]));
+        }
+        engine.take_events().for_each(drop);
     }
 }
 
+/// Instructions of a packet of an open flow and of an opening, from the differences of courses; `None`
+/// where valgrind is not installed.
+fn instructions(upstreams: u32) -> Option<(f64, f64)> {
+    const FLOWS: u32 = 1_000;
+    let few = counted(upstreams, FLOWS, PACKETS_A_FLOW)?;
+    let more_packets = counted(upstreams, FLOWS, 2 * PACKETS_A_FLOW)?;
+    let packet = (more_packets - few) / f64::from(FLOWS * PACKETS_A_FLOW);
+    let openings = counted(upstreams, FLOWS, 0)?;
+    let more_openings = counted(upstreams, 2 * FLOWS, 0)?;
+    Some((packet, (more_openings - openings) / f64::from(FLOWS)))
+}
+
+/// Instructions of one course, as valgrind counts them.
+fn counted(upstreams: u32, flows: u32, packets: u32) -> Option<f64> {
+    let numbers = [upstreams, flows, packets].map(|number| number.to_string());
+    let output = Command::new("valgrind")
+        .args(["--tool=callgrind", "--callgrind-out-file=/dev/null"])
+        .arg(env::current_exe().ok()?)
+        .arg("course")
+        .args(numbers)
+        .output()
+        .ok()?;
+    let text = String::from_utf8(output.stderr).ok()?;
+    text.rsplit_once("Collected : ")?.1.split_whitespace().next()?.parse().ok()
+}
+
 fn engine(upstreams: u32) -> Engine {
     let settings = Settings::new(Duration::from_secs(2), 1);
     let service = ServiceId(0);
