steer: timers of an entry with little traffic are not put off

Cause: more than 15 ms between two runs of the timers counted as a stall of the thread. An entry with few packets sleeps until the next timer is due, so each due hedge and answer timeout was put off once more.

Change: only timers that are handled late count as stalled. on_timer_idle_entry_hedges_in_time fails before.

--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -102,7 +102,8 @@
     /// among them, so the timeouts of pending answers then start again from `now`, as they do after
     /// a stall.
     pub fn on_timer(&mut self, now: Timestamp, backlogged: bool) -> Option<Hedge> {
-        let stalled = backlogged || now.since(self.last_timer_run) > self.cfg.stall_threshold;
+        let threshold = self.cfg.stall_threshold;
+        let gap = now.since(self.last_timer_run);
         self.last_timer_run = now;
         while let Some(Reverse((deadline, flow))) = self.timers.peek().copied() {
             if deadline > now {
@@ -112,7 +113,12 @@
             if self.openings.get(&flow).is_none_or(|opening| opening.deadline != deadline) {
                 continue;
             }
-            if stalled && let Some(wait) = self.pending_timeout(&flow) {
+            // A thread that waits for the next timer without packets runs late, too, but not later
+            // than that timer.
+            let stalled = gap > threshold && now.since(deadline) > threshold;
+            if (backlogged || stalled)
+                && let Some(wait) = self.pending_timeout(&flow)
+            {
                 self.schedule(now + wait, &flow);
                 continue;
             }
--- a/crates/steer/tests/opening.rs
+++ b/crates/steer/tests/opening.rs
@@ -261,3 +261,12 @@
     }
     assert!(late_hedges < 25, "{late_hedges} hedged requests for 250 openings of constant latency");
 }
+
+/// An entry with little traffic runs its timers only when they are due. That is no stall.
+#[test]
+fn on_timer_idle_entry_hedges_in_time() {
+    let mut engine = engine(table());
+    open_flow(&mut engine, at(0), 1);
+    let due = engine.next_timer().expect("an opening waits for its answer");
+    assert!(engine.on_timer(due + Duration::from_millis(1), false).is_some());
+}
