directory: the pages of a first full read are used as they come

Cause: an entry that starts served nothing before the last page of the store was there, and one page that timed out cost all pages before it. With many entries that start at once, pages take long on slow links.

The records of the first read are applied page by page, unless the store was away: then only the complete read tells which upstreams may be missing. Keys are ordered, so the first page holds the configuration, zones out of service and members.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -7,11 +7,13 @@
 //! Pure state machines independent of the store's protocol; functions that depend on time take
 //! `now`.
 
+pub mod full_read;
 pub mod record;
 pub mod source;
 pub mod state;
 pub mod store_sync;
 
+pub use full_read::{CompleteRead, FullRead};
 pub use record::{
     Config, Member, Record, RecordKey, RecordValue, RouteSpec, ServiceSpec, UpstreamSpec,
 };
--- a/crates/directory/src/state.rs
+++ b/crates/directory/src/state.rs
@@ -71,6 +71,8 @@
     /// outage.
     incomplete_until: Option<Timestamp>,
     last_change: TableChange,
+    /// Whether a full read was completed.
+    has_loaded: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -120,11 +122,13 @@
             store_trust: StoreTrust::Trusted,
             incomplete_until: None,
             last_change: TableChange::default(),
+            has_loaded: false,
         }
     }
 
     /// Applies a full read of the store. Records that are not in it are marked as removed.
     pub fn load(&mut self, now: Timestamp, records: Vec<Record>) {
+        self.has_loaded = true;
         if self.store_trust == StoreTrust::Unavailable {
             let relist_until = now + self.cfg.relist_grace;
             self.store_trust = StoreTrust::UntrustedUntil(relist_until);
@@ -178,6 +182,19 @@
         }
     }
 
+    /// Applies a part of a first full read, so that flows can be opened before the last page is
+    /// there. Returns false if the records wait for the complete read: after an outage it tells
+    /// whether upstreams may be missing, and an entry that knows upstreams has no hurry.
+    pub fn apply_page(&mut self, now: Timestamp, records: Vec<Record>) -> bool {
+        let applies = self.store_trust == StoreTrust::Trusted && !self.has_loaded;
+        if applies {
+            for record in records {
+                self.apply(now, record);
+            }
+        }
+        applies
+    }
+
     fn is_unannounced_removal(&self, record: &Record) -> bool {
         let RecordKey::Upstream(id) = record.key else {
             return false;
--- a/crates/directory/tests/state.rs
+++ b/crates/directory/tests/state.rs
@@ -426,3 +426,26 @@
     let upstream = &table.upstreams[&UpstreamId(1)];
     assert!(upstream.unlisted && !upstream.ended && !upstream.accepts_new);
 }
+
+/// Flows can be opened before the last page of a first read arrives.
+#[test]
+fn apply_page_first_read_syncs_early() {
+    let mut directory = Directory::new(settings());
+    let mut records = all_records();
+    let rest = records.split_off(3);
+    assert!(directory.apply_page(at(0), records.clone()));
+    assert!(directory.is_synced() && directory.is_complete(at(0)));
+    records.extend(rest);
+    directory.load(at(10), records);
+    assert_eq!(directory.table(at(10), "e1").0.upstreams.len(), 4);
+    assert!(!directory.apply_page(at(20), vec![upstream(30, spec(9))]));
+}
+
+/// After an outage only a complete read tells which upstreams may be missing.
+#[test]
+fn apply_page_after_an_outage_waits() {
+    let mut directory = Directory::new(settings());
+    directory.store_lost();
+    assert!(!directory.apply_page(at(0), all_records()));
+    assert!(!directory.is_synced());
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -47,6 +47,10 @@
 #[derive(Debug)]
 pub struct Loaded(pub Vec<Record>);
 
+/// Some records of a full read that is still under way.
+#[derive(Debug)]
+pub struct PageRead(pub Vec<Record>);
+
 /// Records to apply on top of the known ones: changes in the store, or records of another entry.
 #[derive(Debug)]
 pub struct Changed(pub Vec<Record>);
@@ -217,6 +221,17 @@
     }
 }
 
+impl Message<PageRead> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: PageRead, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        if self.directory.apply_page(now, msg.0) {
+            self.publish(now);
+        }
+    }
+}
+
 impl Message<Changed> for Control {
     type Reply = ();
 
