steer: an opening looks only at the upstreams of its service

Cause: selection scanned the whole table for each opening, and the check for services without a reachable upstream did so after each batch of packets.

Change: eligible upstreams are listed by service when a table is applied; the check returns at once while all zones are reachable. The order of preference is as before. Silence of an upstream costs no decayed counts unless there is evidence for it.

--- a/crates/health/src/outlier.rs
+++ b/crates/health/src/outlier.rs
@@ -255,15 +255,16 @@
             return false;
         };
         let silence = &upstream.silence;
-        let others = self
-            .services
-            .get(&upstream.service)
-            .map_or(0.0, |stats| stats.others_failure_ratio(now, upstream));
+        let others_answer = || {
+            let stats = self.services.get(&upstream.service);
+            let others = stats.map_or(0.0, |stats| stats.others_failure_ratio(now, upstream));
+            MIN_FACTOR_OVER_OTHERS * others <= 1.0
+        };
         silence.confirmed
             && silence.openings > 0
             && silence.requests >= MIN_UNANSWERED_REQUESTS
             && silence.weight() >= MIN_SILENCE
-            && MIN_FACTOR_OVER_OTHERS * others <= 1.0
+            && others_answer()
     }
 
     /// Records an answer observed by this entry. Returns the upstream's new state if it changed.
--- a/crates/steer/src/selection.rs
+++ b/crates/steer/src/selection.rs
@@ -80,6 +80,8 @@
     possibly_cold_period: Duration,
     seed: u64,
     upstreams: IndexMap<UpstreamId, UpstreamState>,
+    /// Upstreams that accept new flows, by service.
+    eligible: IndexMap<ServiceId, Vec<UpstreamId>>,
     zones: IndexMap<ZoneId, ZoneState>,
     outliers: Outliers<UpstreamId, ServiceId>,
     picks: u64,
@@ -166,6 +168,7 @@
             possibly_cold_period,
             seed,
             upstreams: IndexMap::new(),
+            eligible: IndexMap::new(),
             zones: IndexMap::new(),
             outliers: Outliers::new(),
             picks: FIRST_PICK,
@@ -185,6 +188,10 @@
                 self.outliers.reset(*id);
             }
         }
+        self.eligible.values_mut().for_each(Vec::clear);
+        for upstream in table.upstreams.values().filter(|upstream| upstream.accepts_new) {
+            self.eligible.entry(upstream.service).or_default().push(upstream.id);
+        }
         let members = table.upstreams.values();
         let members = members.map(|upstream| (upstream.id, upstream.service, upstream.accepts_new));
         self.outliers.set_members(members);
@@ -207,15 +214,33 @@
         opening: &Opening,
         is_usable: impl Fn(UpstreamId) -> bool,
     ) -> Result<UpstreamId, SelectError> {
-        let mut eligible = false;
-        let mut best: Option<Rank> = None;
         let service_id = opening.service;
-        let service = table.services.get(usize::from(service_id.0));
-        for (id, upstream) in &table.upstreams {
-            if upstream.service != service_id || !upstream.accepts_new || !is_usable(*id) {
+        let ids = self.eligible.get_mut(&service_id).map(std::mem::take).unwrap_or_default();
+        let best = self.best_of(now, table, opening, &ids, &is_usable);
+        let eligible = best.is_some() || ids.iter().any(|id| is_usable(*id));
+        self.eligible.insert(service_id, ids);
+        let Some(Rank { id, .. }) = best else {
+            return Err(if eligible { SelectError::AllAtLimit } else { SelectError::NoneEligible });
+        };
+        self.count_pick(now, table, id);
+        Ok(id)
+    }
+
+    /// The best of the upstreams `ids` of the opening's service that can accept it.
+    fn best_of(
+        &mut self,
+        now: Timestamp,
+        table: &Table,
+        opening: &Opening,
+        ids: &[UpstreamId],
+        is_usable: impl Fn(UpstreamId) -> bool,
+    ) -> Option<Rank> {
+        let service = table.services.get(usize::from(opening.service.0));
+        let mut best: Option<Rank> = None;
+        for id in ids {
+            let Some(upstream) = table.upstreams.get(id).filter(|_| is_usable(*id)) else {
                 continue;
-            }
-            eligible = true;
+            };
             if opening.attempts().any(|attempt| attempt.upstream == *id) {
                 continue;
             }
@@ -242,9 +267,11 @@
             };
             best = Some(best.map_or(rank, |best| best.min(rank)));
         }
-        let Some(Rank { id, .. }) = best else {
-            return Err(if eligible { SelectError::AllAtLimit } else { SelectError::NoneEligible });
-        };
+        best
+    }
+
+    /// Counts a new flow at the picked upstream.
+    fn count_pick(&mut self, now: Timestamp, table: &Table, id: UpstreamId) {
         self.picks += 1;
         let state = &mut self.upstreams[&id];
         state.last_pick = self.picks;
@@ -254,7 +281,6 @@
         if is_cold || self.outliers.state(now, id) == OutlierState::HalfOpen {
             state.limited_opens.push_back(now);
         }
-        Ok(id)
     }
 
     /// Adds a flow that was opened without [`Self::pick`] to the upstream's load.
@@ -426,18 +452,11 @@
     /// Since when all eligible upstreams of some service are in unreachable zones; `None` if no
     /// service is affected.
     pub fn unusable_since(&self, table: &Table) -> Option<Timestamp> {
+        self.unreachable_zones().next()?;
         let mut latest = None;
-        for service in 0..table.services.len() {
-            let service = ServiceId(service as u16);
+        for ids in self.eligible.values().filter(|ids| !ids.is_empty()) {
             let mut service_since: Option<Timestamp> = None;
-            let mut upstreams = table
-                .upstreams
-                .values()
-                .filter(|upstream| upstream.service == service && upstream.accepts_new)
-                .peekable();
-            if upstreams.peek().is_none() {
-                continue;
-            }
+            let mut upstreams = ids.iter().filter_map(|id| table.upstreams.get(id));
             let all_unreachable = upstreams.all(|upstream| {
                 let since = self.zones.get(&upstream.zone).and_then(|zone| zone.unreachable_since);
                 service_since = service_since.max(since);
