Review: rolling restarts break flows whose opening is still hedged

Cause: an entry goes on to hedge for a flow that the routers have moved before its first acknowledgement; the late SYN+ACK turns the token for as long as the flow is idle.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 TROUBLE=${TROUBLE:-1} timeout --kill-after=5 100 \
-    target/review/standins roll review/3/record.txt
+    target/review/standins zone review/3/record.txt
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -1,8 +1,8 @@
 //! The steps of each case, and its verdict.
 
 use std::net::SocketAddrV4;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -22,15 +22,47 @@
 /// Deadline of `case-order` on the site.
 const DEADLINE: Duration = Duration::from_secs(2);
 
+/// Stack of a client's thread.
+const STACK_BYTES: usize = 256 << 10;
+
+/// How clients' links and endpoints behave.
+struct Manners {
+    /// Delay to clients, one way.
+    client_delay: Duration,
+    /// Mean time of a request, and the spread of its logarithm.
+    work: Duration,
+    spread: f64,
+    /// Whether endpoints send an unacknowledged SYN+ACK again.
+    repeats_syn_ack: bool,
+}
+
+const FAST: Manners = Manners {
+    client_delay: Duration::ZERO,
+    work: Duration::from_millis(20),
+    spread: 0.0,
+    repeats_syn_ack: false,
+};
+
+/// The delay to clients and the work of `lot-check` on the site.
+const AS_ON_SITE: Manners = Manners {
+    client_delay: Duration::from_millis(3),
+    work: Duration::from_millis(15),
+    spread: 0.5,
+    repeats_syn_ack: false,
+};
+
 /// Retries of a client.
 const RETRIES: usize = 2;
 
 /// Plays a case. Returns whether the rule was broken.
 pub fn play(case: &str, record: &str, trouble: bool) -> Result<bool, String> {
     match case {
-        "freeze" => freeze(&mut Deployment::start(record, false)?, trouble),
-        "zone" => zone(&mut Deployment::start(record, false)?, trouble),
-        "roll" => roll(&mut Deployment::start(record, true)?, trouble),
+        "freeze" => freeze(&Deployment::start(record, &FAST)?, trouble),
+        "zone" => zone(&Deployment::start(record, &FAST)?, trouble),
+        "roll" => {
+            roll(&Deployment::start(record, &Manners { repeats_syn_ack: true, ..FAST })?, trouble)
+        }
+        "restart" => restart(&Deployment::start(record, &AS_ON_SITE)?, trouble),
         _ => Err(format!("no case is called {case}")),
     }
 }
@@ -39,7 +71,7 @@
 struct Deployment {
     world: Arc<World>,
     store: Store,
-    nodes: Vec<Node>,
+    nodes: Vec<Mutex<Node>>,
     routers: Arc<Routers>,
     hosts: Vec<Arc<ClientHost>>,
     safe: SocketAddrV4,
@@ -59,7 +91,7 @@
 }
 
 impl Deployment {
-    fn start(record: &str, repeats_syn_ack: bool) -> Result<Self, String> {
+    fn start(record: &str, manners: &Manners) -> Result<Self, String> {
         let world = Arc::new(World::new(record)?);
         let text = |e: std::io::Error| e.to_string();
         let store = Store::start(world.store_addr()).map_err(text)?;
@@ -90,8 +122,9 @@
                     zone,
                     zone_name: ZONES[zone],
                     service: "order-desk",
-                    work: Duration::from_millis(20),
-                    repeats_syn_ack,
+                    work: manners.work,
+                    spread: manners.spread,
+                    repeats_syn_ack: manners.repeats_syn_ack,
                 };
                 spec.register(&world, &store);
                 Endpoint::start(spec, &world, NODE_ZONES.to_vec(), &stop).map_err(text)?;
@@ -102,11 +135,12 @@
         for (index, zone) in NODE_ZONES.into_iter().enumerate() {
             let mut node = Node::new(&world, index, ZONES[zone]).map_err(text)?;
             node.start().map_err(|e| format!("target/release/ibis-node: {e}"))?;
-            nodes.push(node);
+            nodes.push(Mutex::new(node));
         }
         let routers = Routers::start(&world, &NODE_ZONES, &stop);
-        let hosts: Result<Vec<_>, _> =
-            (0..ZONES.len()).map(|zone| ClientHost::start(&world, &routers, zone)).collect();
+        let hosts: Result<Vec<_>, _> = (0..ZONES.len())
+            .map(|zone| ClientHost::start(&world, &routers, zone, manners.client_delay))
+            .collect();
         let hosts = hosts.map_err(text)?;
         let deployment = Self { world, store, nodes, routers, hosts, safe, unsafe_route, stop };
         deployment.wait_ready()?;
@@ -116,8 +150,8 @@
     /// Waits until all nodes are in rotation and have registered, and a little longer.
     fn wait_ready(&self) -> Result<(), String> {
         let ready = || {
-            (0..self.nodes.len()).all(|node| self.routers.in_rotation(node))
-                && self.store.count("ibis/nodes/") == self.nodes.len()
+            (0..NODE_ZONES.len()).all(|node| self.routers.in_rotation(node))
+                && self.store.count("ibis/nodes/") == NODE_ZONES.len()
         };
         while !ready() {
             if self.world.now() > 20.0 {
@@ -129,6 +163,25 @@
         Ok(())
     }
 
+    fn node(&self, index: usize) -> MutexGuard<'_, Node> {
+        self.nodes[index].lock().unwrap()
+    }
+
+    /// Stops and starts each node in turn.
+    fn restart_all(&self, gap: Duration) -> Result<(), String> {
+        for index in 0..NODE_ZONES.len() {
+            self.world.note(&format!("node {index} gets SIGTERM"));
+            self.node(index).stop(Duration::from_secs(6));
+            self.world.note(&format!("node {index} has ended and starts again"));
+            self.node(index).start().map_err(|e| e.to_string())?;
+            while !self.routers.in_rotation(index) {
+                thread::sleep(Duration::from_millis(10));
+            }
+            thread::sleep(gap);
+        }
+        Ok(())
+    }
+
     /// Starts a client that opens a flow and sends requests on it, at seconds after its start.
     fn client(
         &self,
@@ -139,7 +192,7 @@
     ) -> JoinHandle<Seen> {
         let (world, host) = (Arc::clone(&self.world), Arc::clone(&self.hosts[zone]));
         let service = if method == "GET" { self.safe } else { self.unsafe_route };
-        thread::spawn(move || {
+        let steps = move || {
             let start = world.now();
             let mut seen = Seen { name, flow: None, answered: 0, deadlines: 0, reset: None };
             let Some(mut flow) = (0..=RETRIES).find_map(|_| Flow::open(&host, service)) else {
@@ -147,34 +200,45 @@
                 return seen;
             };
             seen.flow = Some(flow.addr);
+            let mut line = format!("client {}: opened", flow.addr);
             for (number, at) in requests.into_iter().enumerate() {
                 flow.rest(Duration::from_secs_f64((start + at - world.now()).max(0.0)));
                 let id = format!("{}-{number}", seen.name);
-                match flow.request(method, &id, DEADLINE) {
-                    Ended::Answered => seen.answered += 1,
+                line += &format!("; {:.3} sent {id}", world.now());
+                let ended = flow.request(method, &id, DEADLINE);
+                let now = world.now();
+                match ended {
+                    Ended::Answered(endpoint) => {
+                        seen.answered += 1;
+                        line += &format!(", {now:.3} answered by endpoint {endpoint}");
+                    }
                     Ended::Deadline => {
                         seen.deadlines += 1;
-                        world.note(&format!("{id} on {}: no answer in time", flow.addr));
+                        line += &format!(", {now:.3} no answer in time");
                         break;
                     }
                     Ended::Reset => {
-                        seen.reset = flow.reset.map(|reset| (world.now(), reset));
+                        seen.reset = flow.reset.map(|reset| (now, reset));
                         if let Some((_, reset)) = seen.reset {
-                            let from = sender(&reset);
                             let held = reset.held_by;
-                            world.note(&format!(
-                                "{id} on {}: reset by {from}; node {} took the packet; open at \
-                                 endpoint {held:?}",
-                                flow.addr, reset.node
-                            ));
+                            line += &format!(
+                                ", {now:.3} reset by {}; node {} took the packet; the flow is open \
+                                 at endpoint {held:?}",
+                                sender(&reset),
+                                reset.node
+                            );
                         }
+                        world.note(&line);
                         return seen;
                     }
                 }
             }
+            world.note(&line);
             flow.close();
             seen
-        })
+        };
+        let builder = thread::Builder::new().stack_size(STACK_BYTES);
+        builder.spawn(steps).expect("cannot start a client's thread")
     }
 }
 
@@ -183,10 +247,16 @@
         self.stop.store(true, Ordering::Relaxed);
         if std::env::var_os("KEEP_LOGS").is_some() {
             for node in &self.nodes {
+                let node = node.lock().unwrap();
                 let name = node.log.file_name().unwrap_or_default();
                 let _copied = std::fs::copy(&node.log, std::env::temp_dir().join(name));
             }
         }
+        for node in &self.nodes {
+            node.lock().unwrap().kill();
+        }
+        // What is left of a temporary folder does no harm.
+        let _removed = std::fs::remove_dir_all(&self.world.folder);
     }
 }
 
@@ -227,7 +297,7 @@
 }
 
 /// A node stands still for 3.5 s while clients open flows that they keep.
-fn freeze(deployment: &mut Deployment, trouble: bool) -> Result<bool, String> {
+fn freeze(deployment: &Deployment, trouble: bool) -> Result<bool, String> {
     const FROZEN: usize = 0;
     let world = Arc::clone(&deployment.world);
     let t0 = world.now();
@@ -239,12 +309,12 @@
         if trouble && !is_frozen && world.now() >= frozen_at {
             is_frozen = true;
             world.note("node 0 is stopped (SIGSTOP)");
-            deployment.nodes[FROZEN].signal(SIGSTOP);
+            deployment.node(FROZEN).signal(SIGSTOP);
         }
         if is_frozen && world.now() >= woken_at {
             is_frozen = false;
             world.note("node 0 goes on (SIGCONT)");
-            deployment.nodes[FROZEN].signal(SIGCONT);
+            deployment.node(FROZEN).signal(SIGCONT);
             break;
         }
         clients.push(deployment.client(0, format!("order-{number}"), "POST", vec![0.0, 9.0]));
@@ -252,7 +322,7 @@
     if is_frozen {
         world.sleep_until(woken_at);
         world.note("node 0 goes on (SIGCONT)");
-        deployment.nodes[FROZEN].signal(SIGCONT);
+        deployment.node(FROZEN).signal(SIGCONT);
     }
     let seen = join(clients)?;
     let in_touch = |at: f64, _: &GotReset| !trouble || at >= woken_at + STABLE_WINDOW_S;
@@ -261,7 +331,7 @@
 
 /// A zone's only machine is lost and the zone is cut off; the operator evacuates the zone. Clients
 /// keep flows to its endpoints and go on when the cut has healed.
-fn zone(deployment: &mut Deployment, trouble: bool) -> Result<bool, String> {
+fn zone(deployment: &Deployment, trouble: bool) -> Result<bool, String> {
     const ZONE: usize = 2;
     const MACHINE: usize = 3;
     let world = Arc::clone(&deployment.world);
@@ -284,7 +354,7 @@
             match step {
                 "lose" => {
                     world.note("node 3, the only one of hu-central-c, is lost (SIGKILL)");
-                    deployment.nodes[MACHINE].kill();
+                    deployment.node(MACHINE).kill();
                 }
                 "cut" => {
                     world.note("hu-central-c is cut off from the other zones");
@@ -326,7 +396,7 @@
 }
 
 /// Links lose packets while clients open flows that they keep. Later a node is restarted as planned.
-fn roll(deployment: &mut Deployment, trouble: bool) -> Result<bool, String> {
+fn roll(deployment: &Deployment, trouble: bool) -> Result<bool, String> {
     const ROLLED: usize = 0;
     const KEPT: u32 = 1_000;
     let world = Arc::clone(&deployment.world);
@@ -346,11 +416,52 @@
     world.set_links(Links::Sound);
     world.sleep_until(t0 + 6.0);
     world.note("node 0 gets SIGTERM");
-    deployment.nodes[ROLLED].stop(Duration::from_secs(6));
+    deployment.node(ROLLED).stop(Duration::from_secs(6));
     world.note("node 0 has ended and starts again");
-    deployment.nodes[ROLLED].start().map_err(|e| e.to_string())?;
+    deployment.node(ROLLED).start().map_err(|e| e.to_string())?;
     let seen = join(clients)?;
     // FLOW counts under planned work in any case, but not what the losses themselves cause.
     let in_touch = |at: f64, _: &GotReset| !trouble || at >= sound_at + STABLE_WINDOW_S;
     Ok(verdict(&world, &seen, in_touch))
 }
+
+/// All nodes are restarted in turn, as planned, under the site's traffic on flows that are kept.
+fn restart(deployment: &Deployment, trouble: bool) -> Result<bool, String> {
+    /// New flows a second of the clients of each zone, as on the day scale-1.
+    const PER_S: [f64; 3] = [124.0, 133.0, 183.0];
+    const TRAFFIC_S: f64 = 55.0;
+    const PAUSE_S: f64 = 6.0;
+    /// Pause between two restarts.
+    const GAP: Duration = Duration::from_millis(1_200);
+    let world = Arc::clone(&deployment.world);
+    let t0 = world.now();
+    thread::scope(|scope| {
+        let deployment: &Deployment = deployment;
+        let sources: Vec<_> = (0..ZONES.len())
+            .map(|zone| {
+                let world = Arc::clone(&world);
+                scope.spawn(move || {
+                    let count = (TRAFFIC_S * PER_S[zone]) as u32;
+                    let client = |number: u32| {
+                        world.sleep_until(t0 + f64::from(number) / PER_S[zone]);
+                        let name = format!("order-{zone}-{number}");
+                        deployment.client(zone, name, "POST", vec![0.0, PAUSE_S])
+                    };
+                    (0..count).map(client).collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        if trouble {
+            thread::sleep(Duration::from_secs(1));
+            for _ in 0..4 {
+                deployment.restart_all(GAP)?;
+            }
+        }
+        let mut seen = Vec::new();
+        for source in sources {
+            seen.extend(join(source.join().map_err(|_| "a client panicked".to_owned())?)?);
+        }
+        // FLOW counts under planned work in any case.
+        Ok(verdict(&world, &seen, |_, _| true))
+    })
+}
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -25,11 +25,17 @@
 /// Seed of initial sequence numbers.
 const SEQ_STEP: u32 = 0x0101_4203;
 
+/// A packet on its way to the routers, and where its flow notes the node that got it.
+type Outgoing = (Instant, Packet, Arc<AtomicUsize>);
+
 /// A machine with clients in one zone.
 pub struct ClientHost {
     pub zone: usize,
     ip: Ipv4Addr,
     socket: UdpSocket,
+    /// Delay of the clients' links, one way.
+    delay: Duration,
+    outgoing: Mutex<Sender<Outgoing>>,
     flows: Mutex<HashMap<u16, Sender<Packet>>>,
     next_port: AtomicU32,
     routers: Arc<Routers>,
@@ -41,27 +47,46 @@
         world: &Arc<World>,
         routers: &Arc<Routers>,
         zone: usize,
+        delay: Duration,
     ) -> std::io::Result<Arc<Self>> {
         let ip = world.client_ip(zone);
+        let (outgoing, sent) = mpsc::channel();
+        let (incoming, received) = mpsc::channel();
         let host = Arc::new(Self {
             zone,
             ip,
             socket: UdpSocket::bind((ip, DATA_PORT))?,
+            delay,
+            outgoing: Mutex::new(outgoing),
             flows: Mutex::default(),
             next_port: AtomicU32::new(20_000),
             routers: Arc::clone(routers),
             world: Arc::clone(world),
         });
         let receiving = Arc::clone(&host);
-        thread::spawn(move || receiving.receive());
+        thread::spawn(move || receiving.receive(&incoming));
+        let delivering = Arc::clone(&host);
+        thread::spawn(move || delivering.deliver(&received));
+        let sending = Arc::clone(&host);
+        thread::spawn(move || sending.forward(&sent));
         Ok(host)
     }
 
-    fn receive(&self) {
+    fn receive(&self, incoming: &Sender<(Instant, Packet)>) {
         let mut buf = [0; 2_048];
         loop {
             let Ok(len) = self.socket.recv(&mut buf) else { continue };
             let Some(packet) = Packet::decode(&buf[..len]) else { continue };
+            if incoming.send((Instant::now() + self.delay, packet)).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Hands packets to their flows when they have passed the client's link.
+    fn deliver(&self, received: &Receiver<(Instant, Packet)>) {
+        while let Ok((due, packet)) = received.recv() {
+            thread::sleep(due.saturating_duration_since(Instant::now()));
             let flow = self.flows.lock().unwrap().get(&packet.to.port()).cloned();
             if let Some(flow) = flow {
                 // A flow that has just ended takes no more packets.
@@ -69,12 +94,24 @@
             }
         }
     }
+
+    /// Sends packets through the routers when they have passed the client's link.
+    fn forward(&self, sent: &Receiver<Outgoing>) {
+        while let Ok((due, packet, last_node)) = sent.recv() {
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+            let node = self.routers.node_for(self.zone, packet.from, packet.to);
+            last_node.store(node, Ordering::Relaxed);
+            // A full buffer loses the packet, as a full link does.
+            let _lost = self.socket.send_to(&packet.encode(), self.routers.data_addr(node));
+        }
+    }
 }
 
 /// How a request on an open flow ended.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Ended {
-    Answered,
+    /// Answered by this endpoint.
+    Answered(usize),
     Reset,
     Deadline,
 }
@@ -99,7 +136,7 @@
     next_out: u32,
     next_in: u32,
     base: u32,
-    last_node: usize,
+    last_node: Arc<AtomicUsize>,
     pub reset: Option<GotReset>,
 }
 
@@ -120,7 +157,7 @@
             next_out: seq.wrapping_add(1),
             next_in: 0,
             base: 0,
-            last_node: 0,
+            last_node: Arc::default(),
             reset: None,
         };
         let start = Instant::now();
@@ -182,7 +219,10 @@
                     if !answer.contains(&format!("X-Request-Id: {id}\r\n")) {
                         self.host.world.note(&format!("{} got a foreign answer", self.addr));
                     }
-                    return Ended::Answered;
+                    let endpoint =
+                        answer.lines().find_map(|line| line.strip_prefix("X-Endpoint: "));
+                    let endpoint = endpoint.and_then(|number| number.parse().ok());
+                    return Ended::Answered(endpoint.unwrap_or(usize::MAX));
                 }
                 if self.reset.is_some() {
                     break;
@@ -202,7 +242,7 @@
                 let held = self.host.world.open_flow(self.addr);
                 self.reset = Some(GotReset {
                     sender: packet.sum.checked_sub(100).map(|number| number as usize),
-                    node: self.last_node,
+                    node: self.last_node.load(Ordering::Relaxed),
                     held_by: held.filter(|flow| flow.base == self.base).map(|flow| flow.endpoint),
                 });
             }
@@ -234,10 +274,9 @@
         let echo = if flags == SYN { 0 } else { self.echo };
         let (from, to) = (self.addr, self.service);
         let packet = Packet { from, to, flags, seq, ack, echo, sum: 1, data };
-        self.last_node = self.host.routers.node_for(self.host.zone, from, to);
-        let node = self.host.routers.data_addr(self.last_node);
-        // A full buffer loses the packet, as a full link does.
-        let _lost = self.host.socket.send_to(&packet.encode(), node);
+        let due = Instant::now() + self.host.delay;
+        // The host's threads last as long as the run.
+        let _sent = self.host.outgoing.lock().unwrap().send((due, packet, self.last_node.clone()));
     }
 }
 
--- a/review/standins/endpoint.rs
+++ b/review/standins/endpoint.rs
@@ -27,7 +27,9 @@
     pub zone: usize,
     pub zone_name: &'static str,
     pub service: &'static str,
+    /// Mean time of a request, and the spread of its logarithm.
     pub work: Duration,
+    pub spread: f64,
     /// Whether an unacknowledged SYN+ACK is sent again.
     pub repeats_syn_ack: bool,
 }
@@ -188,8 +190,9 @@
             .find_map(|line| line.strip_prefix("X-Request-Id: "))
             .unwrap_or("?")
             .to_owned();
-        self.world.note(&format!("endpoint {} runs {id} of {client}", self.spec.number));
-        flow.due = Some((Instant::now() + self.spec.work, id));
+        self.world.note(&format!("run {id} at endpoint {}", self.spec.number));
+        let work = self.spec.work.mul_f64(self.world.log_normal(self.spec.spread));
+        flow.due = Some((Instant::now() + work, id));
     }
 
     fn on_syn(&mut self, packet: &Packet) {
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -135,6 +135,13 @@
         }
     }
 
+    /// A log-normal number with mean 1 and the spread `sigma` of its logarithm.
+    pub fn log_normal(&self, sigma: f64) -> f64 {
+        let radius = (-2.0 * (1.0 - self.random()).ln()).sqrt();
+        let normal = radius * (std::f64::consts::TAU * self.random()).cos();
+        (sigma * normal - sigma * sigma / 2.0).exp()
+    }
+
     /// A number from 0 to 1, by xorshift.
     pub fn random(&self) -> f64 {
         let mut state = self.random.lock().unwrap();
@@ -144,10 +151,3 @@
         (*state >> 11) as f64 / (1_u64 << 53) as f64
     }
 }
-
-impl Drop for World {
-    fn drop(&mut self) {
-        // What is left of a temporary folder does no harm.
-        let _removed = std::fs::remove_dir_all(&self.folder);
-    }
-}
