--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -429,10 +429,10 @@
 fn restart(deployment: &Deployment, trouble: bool) -> Result<bool, String> {
     /// New flows a second of the clients of each zone, as on the day scale-1.
     const PER_S: [f64; 3] = [124.0, 133.0, 183.0];
-    const TRAFFIC_S: f64 = 55.0;
+    const TRAFFIC_S: f64 = 62.0;
     const PAUSE_S: f64 = 6.0;
     /// Pause between two restarts.
-    const GAP: Duration = Duration::from_millis(1_200);
+    const GAP: Duration = Duration::from_secs(2);
     let world = Arc::clone(&deployment.world);
     let t0 = world.now();
     thread::scope(|scope| {
