steer: the token of an opening is bound to the client's initial sequence number

Cause: an opening that went to two upstreams can be answered by the one that did not get the flow at any later time. The client then returns that upstream's token. Only the record of the entry that sent the opening corrects it; an entry without that record followed the token.

An opening now carries the token xor a hash of the client's initial sequence number. The first packets of a flow follow that number, so any entry can still read it there. In a later packet such a token names no upstream, whichever entry gets it, and nothing is forwarded by it.

--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -459,9 +459,18 @@
     }
 
     /// The upstream that a packet's token names, among the services that its route has ever named.
+    ///
+    /// The token of an opening counts only in the client's first packets, whose sequence number
+    /// follows the opening's. Later on an upstream that did not get the flow may have sent it.
     fn upstream_by_token(&self, packet: &Packet) -> Option<UpstreamId> {
+        let initial_seq = packet.seq.wrapping_sub(1);
+        self.upstream_named(packet, packet.token)
+            .or_else(|| self.upstream_named(packet, packet.token.bound_to(initial_seq)))
+    }
+
+    fn upstream_named(&self, packet: &Packet, token: Token) -> Option<UpstreamId> {
         let route = self.table.routes.get(&packet.flow.service)?;
-        let candidates = self.tokens.get(&packet.token)?;
+        let candidates = self.tokens.get(&token)?;
         candidates.iter().copied().find(|id| self.may_serve(route, *id))
     }
 
@@ -546,9 +555,10 @@
     }
 
     fn last_hop(&self, flow: &FlowKey) -> Option<Hop> {
-        let last = self.openings.get(flow)?.attempts().next_back()?.upstream;
+        let opening = self.openings.get(flow)?;
+        let last = opening.attempts().next_back()?.upstream;
         let upstream = self.table.upstreams.get(&last)?;
-        upstream.accepts_new.then(|| hop_to(upstream))
+        upstream.accepts_new.then(|| opening_hop(upstream, opening.seq))
     }
 
     fn pick(&mut self, now: Timestamp, opening: &Opening) -> Result<Hop, SelectError> {
@@ -562,7 +572,7 @@
         let table = Arc::clone(&self.table);
         let id = self.selector.pick(now, &table, opening, usable)?;
         let upstream = table.upstreams.get(&id).ok_or(SelectError::NoneEligible)?;
-        Ok(hop_to(upstream))
+        Ok(opening_hop(upstream, opening.seq))
     }
 
     fn refuse(&mut self, packet: &Packet, reason: Refusal) -> Action {
@@ -644,6 +654,11 @@
     }
 }
 
+/// The hop of an opening with the client's initial sequence number.
+fn opening_hop(upstream: &Upstream, initial_seq: u32) -> Hop {
+    Hop { token: upstream.id.token().bound_to(initial_seq), ..hop_to(upstream) }
+}
+
 /// Whether a packet acknowledges bytes of the stream whose first acknowledgement number was `base`.
 fn same_stream(packet: &Packet, base: u32) -> bool {
     packet.ack.wrapping_sub(base) < MAX_STREAM_OFFSET_BYTES
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -6,11 +6,15 @@
 use stdx::hash;
 use stdx::time::Timestamp;
 
+/// Keeps the binding of sequence number 0 from being 0.
+const BINDING_SEED: u64 = 0x9E37_79B9_7F4A_7C15;
+
 stdx::value! {
     /// Identifies an upstream for its whole lifetime.
     pub struct UpstreamId(pub u64);
 
-    /// The steering token in a flow's packets, which names the upstream. Zero names none.
+    /// The steering token in a flow's packets, which names the upstream; in openings it is bound to
+    /// the client's initial sequence number. Zero names none.
     #[derive(Default)]
     pub struct Token(pub u32);
 
@@ -123,6 +127,18 @@
     }
 }
 
+impl Token {
+    /// The token's form in an opening of a client whose sequence numbers start at `initial_seq`.
+    /// Binding a bound token again restores it.
+    ///
+    /// An upstream that lost a hedged opening may answer it at any time, and the client then
+    /// returns the token of that opening. Only a client's first packets acknowledge an opening, and
+    /// their sequence number reverts the binding. In any later packet the token names no upstream.
+    pub const fn bound_to(self, initial_seq: u32) -> Self {
+        Self(self.0 ^ hash::mix(BINDING_SEED ^ initial_seq as u64) as u32)
+    }
+}
+
 impl Route {
     /// The service of a new flow; `split_key` selects among the weighted targets.
     pub fn service_for(&self, split_key: u64) -> Option<ServiceId> {
--- a/crates/steer/tests/support/mod.rs
+++ b/crates/steer/tests/support/mod.rs
@@ -111,6 +111,14 @@
     forwarded_to(engine.on_packet(now, &opening_packet(port), &OPENING_BYTES))
 }
 
+/// The token of an opening that was forwarded, which the upstream's answer brings to the client.
+pub fn opening_token(action: Action) -> Token {
+    match action {
+        Action::Forward(hop) => hop.token,
+        other => panic!("the opening was not forwarded: {other:?}"),
+    }
+}
+
 pub fn forwarded_to(action: Action) -> Option<UpstreamId> {
     match action {
         Action::Forward(hop) => Some(hop.upstream),
