--- a/crates/node/src/event_log.rs
+++ b/crates/node/src/event_log.rs
@@ -152,21 +152,7 @@
                 }
             }
             Event::FlowReset { flow, upstream, reason } => {
-                let reason = reset_reason_name(*reason);
-                counter!("ibis_flow_resets_total", "reason" => reason).increment(1);
-                if self.reset.allow(at) {
-                    let upstream = upstream.map(|id| self.describe(id));
-                    let version = self.table.version;
-                    let flow = flow_name(flow);
-                    tracing::warn!(
-                        at = at.as_micros(),
-                        flow,
-                        upstream,
-                        reason,
-                        version,
-                        "flow reset"
-                    );
-                }
+                self.on_flow_reset(at, flow, *upstream, *reason);
             }
             Event::UpstreamAvoided { upstream } => {
                 counter!("ibis_upstreams_avoided_total").increment(1);
@@ -196,6 +182,23 @@
         }
     }
 
+    fn on_flow_reset(
+        &mut self,
+        at: Timestamp,
+        flow: &FlowKey,
+        upstream: Option<UpstreamId>,
+        reason: ResetReason,
+    ) {
+        let reason = reset_reason_name(reason);
+        counter!("ibis_flow_resets_total", "reason" => reason).increment(1);
+        if self.reset.allow(at) {
+            let upstream = upstream.map(|id| self.describe(id));
+            let version = self.table.version;
+            let flow = flow_name(flow);
+            tracing::warn!(at = at.as_micros(), flow, upstream, reason, version, "flow reset");
+        }
+    }
+
     fn on_answer_failed(
         &mut self,
         at: Timestamp,
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -134,6 +134,7 @@
     /// An upstream that lost a hedged opening may answer it at any time, and the client then
     /// returns the token of that opening. Only a client's first packets acknowledge an opening, and
     /// their sequence number reverts the binding. In any later packet the token names no upstream.
+    #[must_use]
     pub const fn bound_to(self, initial_seq: u32) -> Self {
         Self(self.0 ^ hash::mix(BINDING_SEED ^ initial_seq as u64) as u32)
     }
