--- a/crates/node/tests/pins.rs
+++ b/crates/node/tests/pins.rs
@@ -53,7 +53,9 @@
         let asked = holders(&fleet, "entry-1", port);
         assert_eq!(told.len(), 8);
         assert!(told.iter().filter(|holder| asked.contains(holder)).count() >= 7);
-        told.into_iter().for_each(|holder| *counts.entry(holder).or_default() += 1);
+        for holder in told {
+            *counts.entry(holder).or_default() += 1;
+        }
     }
     assert!(counts.len() == 299 && counts.values().all(|count| *count < 160), "{counts:?}");
 }
