steer, health: evidence that a zone or an upstream is out of reach expires

Cause: a zone counted as unreachable until an opening there was accepted, a request was answered or one of its entries answered a ping. No opening goes to an evacuated zone, its only entry was gone, and requests were reset before they were forwarded, so nothing could disprove the outage.

The same cause on a related path: an upstream counted as silent until a sign of life, although its flows' requests were reset before they were forwarded. That evidence now lasts half as long, as requests are found unanswered later than openings, and starts anew after a gap.

--- a/crates/fakes/src/token_steering/simulation/upstreams.rs
+++ b/crates/fakes/src/token_steering/simulation/upstreams.rs
@@ -139,7 +139,7 @@
         }
         match upstream.run_request(now, REQUEST_RUN_TIME) {
             Some(done) => {
-                self.schedule(done.since(now) + CLIENT_DELAY, Event::Response(flow, id, token))
+                self.schedule(done.since(now) + CLIENT_DELAY, Event::Response(flow, id, token));
             }
             None => self.schedule(CLIENT_DELAY, Event::ResetAtClient(flow, Some(id))),
         }
--- a/crates/health/src/outlier.rs
+++ b/crates/health/src/outlier.rs
@@ -109,6 +109,8 @@
 pub struct Outliers<K, G> {
     upstreams: IndexMap<K, UpstreamStats<G>>,
     services: IndexMap<G, ServiceStats>,
+    /// Time after its last observation for which silence is evidence.
+    silence_lifetime: Duration,
 }
 
 #[derive(Debug, Clone)]
@@ -160,6 +162,8 @@
     first_observer: Option<Observer>,
     /// Whether another entry has seen one, too.
     confirmed: bool,
+    /// When the last of it was observed.
+    observed_at: Timestamp,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -190,8 +194,10 @@
 
 impl<K: Copy + Eq + Hash, G: Copy + Eq + Hash> Outliers<K, G> {
     /// Creates a detector without upstreams.
-    pub fn new() -> Self {
-        Self { upstreams: IndexMap::new(), services: IndexMap::new() }
+    ///
+    /// `silence_lifetime` is the time after its last observation for which silence is evidence.
+    pub fn new(silence_lifetime: Duration) -> Self {
+        Self { upstreams: IndexMap::new(), services: IndexMap::new(), silence_lifetime }
     }
 
     /// Sets the upstreams with their services and whether new flows may be opened at them.
@@ -226,7 +232,7 @@
     }
 
     /// Records whether an opening was answered in time.
-    pub fn record_opening(&mut self, key: K, answered: bool) {
+    pub fn record_opening(&mut self, now: Timestamp, key: K, answered: bool) {
         let Some(upstream) = self.upstreams.get_mut(&key) else {
             return;
         };
@@ -234,7 +240,7 @@
             upstream.mark_alive();
         } else {
             upstream.pending.unanswered += 1;
-            upstream.silence.openings += 1;
+            upstream.silence.add_openings(now, self.silence_lifetime, 1);
         }
     }
 
@@ -246,7 +252,7 @@
     }
 
     /// Whether an upstream shows no sign of life: openings, and requests of two entries or more,
-    /// were not answered, while the other upstreams of its service answer.
+    /// were not answered of late, while the other upstreams of its service answer.
     ///
     /// An upstream that is slow, overloaded or behind a lossy link still answers some of them, and
     /// one that hangs accepts openings.
@@ -261,6 +267,7 @@
             MIN_FACTOR_OVER_OTHERS * others <= 1.0
         };
         silence.confirmed
+            && now.since(silence.observed_at) <= self.silence_lifetime
             && silence.openings > 0
             && silence.requests >= MIN_UNANSWERED_REQUESTS
             && silence.weight() >= MIN_SILENCE
@@ -278,7 +285,10 @@
         upstream.pending.failed += failed;
         match outcome {
             Outcome::Good => upstream.mark_alive(),
-            Outcome::Failed => upstream.silence.add_requests(Observer::Local, failed),
+            Outcome::Failed => {
+                let lifetime = self.silence_lifetime;
+                upstream.silence.add_requests(now, lifetime, Observer::Local, failed);
+            }
         }
         upstream.local.add(now, good, failed);
         upstream.local_short.add(now, good, failed);
@@ -296,8 +306,9 @@
         if tally.alive || tally.good > 0 {
             upstream.silence = Silence::default();
         } else {
-            upstream.silence.add_requests(Observer::Peer(from), tally.failed);
-            upstream.silence.openings = upstream.silence.openings.saturating_add(tally.unanswered);
+            let lifetime = self.silence_lifetime;
+            upstream.silence.add_requests(now, lifetime, Observer::Peer(from), tally.failed);
+            upstream.silence.add_openings(now, lifetime, tally.unanswered);
         }
         if tally.failed > 0 {
             if upstream.counts.decayed(now).failed < NEGLIGIBLE_FAILURES {
@@ -447,12 +458,6 @@
     }
 }
 
-impl<K: Copy + Eq + Hash, G: Copy + Eq + Hash> Default for Outliers<K, G> {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl<G> UpstreamStats<G> {
     fn new(service: G) -> Self {
         Self {
@@ -485,13 +490,31 @@
 }
 
 impl Silence {
+    /// Starts anew if nothing was observed for `lifetime`: what ended the silence may have remained
+    /// unseen.
+    fn observe(&mut self, now: Timestamp, lifetime: Duration) {
+        if now.since(self.observed_at) > lifetime {
+            *self = Self::default();
+        }
+        self.observed_at = now;
+    }
+
     fn weight(&self) -> u32 {
         self.openings.saturating_mul(OPENING_WEIGHT).saturating_add(self.requests)
     }
 
+    /// Adds unanswered openings.
+    fn add_openings(&mut self, now: Timestamp, lifetime: Duration, count: u32) {
+        if count > 0 {
+            self.observe(now, lifetime);
+            self.openings = self.openings.saturating_add(count);
+        }
+    }
+
     /// Adds requests that `observer` saw unanswered.
-    fn add_requests(&mut self, observer: Observer, count: u32) {
+    fn add_requests(&mut self, now: Timestamp, lifetime: Duration, observer: Observer, count: u32) {
         if count > 0 {
+            self.observe(now, lifetime);
             self.requests = self.requests.saturating_add(count);
             self.confirmed |= *self.first_observer.get_or_insert(observer) != observer;
         }
--- a/crates/health/tests/outlier.rs
+++ b/crates/health/tests/outlier.rs
@@ -13,7 +13,7 @@
 
 /// Twelve upstreams of one service and one of another.
 fn detector() -> Detector {
-    let mut outliers = Detector::new();
+    let mut outliers = Detector::new(Duration::from_secs(1));
     outliers.set_members((0..12).map(|key| (key, 0, true)).chain([(100, 1, true)]));
     outliers
 }
@@ -175,7 +175,7 @@
 /// If two of three upstreams fail, at most one of them is ejected.
 #[test]
 fn record_small_service_ejects_at_most_one() {
-    let mut outliers = Detector::new();
+    let mut outliers = Detector::new(Duration::from_secs(1));
     outliers.set_members((0..3).map(|key| (key, 0, true)));
     for now in (0..3_000).step_by(100) {
         for key in 0..3 {
@@ -191,8 +191,8 @@
 fn silent_detector() -> Detector {
     let mut outliers = detector();
     record_answers(&mut outliers, 0, 1_000, |key, _| key == 3);
-    outliers.record_opening(3, false);
-    outliers.record_opening(3, false);
+    outliers.record_opening(at(1_000), 3, false);
+    outliers.record_opening(at(1_000), 3, false);
     outliers.merge(at(1_000), 1, &Tally { key: 3, failed: 1, ..Tally::default() });
     outliers
 }
@@ -210,13 +210,24 @@
     outliers.record_alive(3);
     assert!(!outliers.is_silent(at(1_000), 3));
     let mut outliers = silent_detector();
-    outliers.record_opening(3, true);
+    outliers.record_opening(at(1_000), 3, true);
     assert!(!outliers.is_silent(at(1_000), 3));
     let mut outliers = silent_detector();
     outliers.merge(at(1_000), 2, &Tally { key: 3, alive: true, ..Tally::default() });
     assert!(!outliers.is_silent(at(1_000), 3));
 }
 
+/// Guards against resets at an upstream that answers again: if nothing is sent to it any more, no
+/// sign of life can come.
+#[test]
+fn is_silent_needs_recent_evidence() {
+    let mut outliers = silent_detector();
+    assert!(outliers.is_silent(at(1_900), 3));
+    assert!(!outliers.is_silent(at(2_100), 3));
+    outliers.merge(at(2_100), 2, &Tally { key: 3, failed: 1, unanswered: 1, ..Tally::default() });
+    assert!(!outliers.is_silent(at(2_100), 3), "what was seen before doesn't count any more");
+}
+
 /// An upstream that hangs accepts openings.
 #[test]
 fn is_silent_needs_an_unanswered_opening() {
@@ -231,8 +242,8 @@
 fn is_silent_needs_others_that_answer() {
     let mut outliers = detector();
     record_answers(&mut outliers, 0, 1_000, |_, _| true);
-    outliers.record_opening(3, false);
-    outliers.record_opening(3, false);
+    outliers.record_opening(at(1_000), 3, false);
+    outliers.record_opening(at(1_000), 3, false);
     outliers.merge(at(1_000), 1, &Tally { key: 3, failed: 1, ..Tally::default() });
     assert!(!outliers.is_silent(at(1_000), 3));
 }
@@ -242,7 +253,7 @@
 fn take_updates_keeps_unanswered_openings() {
     let mut outliers = detector();
     record_answers(&mut outliers, 0, 500, |_, _| false);
-    outliers.record_opening(3, false);
+    outliers.record_opening(at(500), 3, false);
     assert_eq!(outliers.take_updates(at(500)), []);
     outliers.record(at(700), 3, Outcome::Failed);
     let tally = Tally { key: 3, failed: 1, unanswered: 1, ..Tally::default() };
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -26,6 +26,10 @@
 /// A longer time between two timer runs of the traffic thread counts as a stall.
 const STALL_THRESHOLD: Duration = Duration::from_millis(15);
 
+/// Lifetime of evidence of an outage if the deployment doesn't say how soon after its end a flow may
+/// not be reset any more.
+const OUTAGE_EVIDENCE_LIFETIME: Duration = Duration::from_secs(2);
+
 stdx::value! {
     /// Limits and delays of the engine.
     pub struct Settings {
@@ -43,6 +47,9 @@
         /// Time after an upstream's recovery during which it may be cold although its record does
         /// not say so yet.
         pub possibly_cold_period: Duration,
+        /// Time after its last observation for which evidence of an outage justifies resets of open
+        /// flows. An outage that has ended can't be told from one that nothing tests any more.
+        pub outage_evidence_lifetime: Duration,
         /// Differs between entries, so that entries that start together do not all choose the same
         /// upstream first.
         pub seed: u64,
@@ -244,6 +251,7 @@
             max_openings: MAX_OPENINGS,
             stall_threshold: STALL_THRESHOLD,
             possibly_cold_period,
+            outage_evidence_lifetime: OUTAGE_EVIDENCE_LIFETIME,
             seed,
         }
     }
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -81,7 +81,7 @@
             cfg,
             table: Arc::new(Table::default()),
             tokens: IndexMap::new(),
-            selector: UpstreamSelector::new(cfg.possibly_cold_period, cfg.seed),
+            selector: UpstreamSelector::new(&cfg),
             openings: Openings::new(cfg.max_openings),
             timers: BinaryHeap::new(),
             opening_latency: LatencyEstimator::default(),
--- a/crates/steer/src/selection.rs
+++ b/crates/steer/src/selection.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use stdx::time::Timestamp;
 
+use crate::decision::Settings;
 use crate::openings::Opening;
 use crate::stranded::UpstreamCondition;
 use crate::table::{Service, ServiceId, Table, Upstream, UpstreamId, ZoneId};
@@ -78,6 +79,8 @@
     /// Time after its recovery during which an upstream may be cold although its record does not
     /// say so yet.
     possibly_cold_period: Duration,
+    /// Time for which unanswered openings show that a zone can't be reached.
+    outage_evidence_lifetime: Duration,
     seed: u64,
     upstreams: IndexMap<UpstreamId, UpstreamState>,
     /// Upstreams that accept new flows, by service.
@@ -110,12 +113,15 @@
 #[derive(Debug, Clone, Default)]
 struct ZoneState {
     consecutive_failures: u32,
-    last_failed: Option<UpstreamId>,
+    /// Upstream of the last opening without an answer, and when that was found.
+    last_failed: Option<(UpstreamId, Timestamp)>,
     multiple_failed: bool,
     avoid_until: Timestamp,
     doublings: u32,
     /// When the zone became unreachable; `None` while it is reachable.
     unreachable_since: Option<Timestamp>,
+    /// When openings at several upstreams were last found unanswered.
+    confirmed_at: Timestamp,
 }
 
 stdx::value! {
@@ -162,15 +168,17 @@
 
 impl UpstreamSelector {
     /// A selector without upstreams.
-    pub fn new(possibly_cold_period: Duration, seed: u64) -> Self {
+    pub fn new(cfg: &Settings) -> Self {
         Self {
             own_zone: None,
-            possibly_cold_period,
-            seed,
+            possibly_cold_period: cfg.possibly_cold_period,
+            outage_evidence_lifetime: cfg.outage_evidence_lifetime,
+            seed: cfg.seed,
             upstreams: IndexMap::new(),
             eligible: IndexMap::new(),
             zones: IndexMap::new(),
-            outliers: Outliers::new(),
+            // Requests are found unanswered later than openings.
+            outliers: Outliers::new(cfg.outage_evidence_lifetime / 2),
             picks: FIRST_PICK,
             last_accepted: Timestamp::default(),
         }
@@ -336,8 +344,9 @@
         let is_isolated = now.since(self.last_accepted) > MAX_TIME_SINCE_ACCEPTED;
         if self.own_zone != Some(upstream.zone)
             && !is_isolated
-            && let Some(since) =
-                self.zones.get(&upstream.zone).and_then(|zone| zone.unreachable_since)
+            && let Some(zone) = self.zones.get(&upstream.zone)
+            && let Some(since) = zone.unreachable_since
+            && now.since(zone.confirmed_at) <= self.outage_evidence_lifetime
         {
             return UpstreamCondition::ZoneUnreachable(since);
         }
@@ -357,7 +366,7 @@
         else {
             return false;
         };
-        self.outliers.record_opening(id, true);
+        self.outliers.record_opening(now, id, true);
         self.last_accepted = now;
         let recovered = state.consecutive_failures >= FAILURES_TO_AVOID_UPSTREAM;
         state.consecutive_failures = 0;
@@ -386,7 +395,7 @@
         else {
             return FailureEffect::Counted;
         };
-        self.outliers.record_opening(id, false);
+        self.outliers.record_opening(now, id, false);
         state.consecutive_failures = state.consecutive_failures.saturating_add(1);
         let avoided = if let Some(doublings) =
             state.consecutive_failures.checked_sub(FAILURES_TO_AVOID_UPSTREAM)
@@ -399,8 +408,15 @@
         };
         let zone = self.zones.entry(upstream.zone).or_default();
         zone.consecutive_failures += 1;
-        zone.multiple_failed |= zone.last_failed.is_some_and(|last| last != id);
-        zone.last_failed = Some(id);
+        if let Some((last, at)) = zone.last_failed
+            && last != id
+        {
+            zone.multiple_failed = true;
+            if now.since(at) <= self.outage_evidence_lifetime {
+                zone.confirmed_at = now;
+            }
+        }
+        zone.last_failed = Some((id, now));
         if zone.consecutive_failures >= FAILURES_TO_AVOID_ZONE
             && zone.multiple_failed
             && zone.avoid_until <= now
--- a/crates/steer/src/stranded.rs
+++ b/crates/steer/src/stranded.rs
@@ -3,7 +3,7 @@
 //!
 //! Only the client's packets pass by, so a missing answer alone proves nothing: a slow upstream, a
 //! long queue and a lost packet look the same. A flow is reset on evidence about its upstream or
-//! zone from openings and from other flows, and unless the upstream has ended only if the client
+//! zone from openings and from other flows, as long as that is recent, and unless the upstream has ended only if the client
 //! may repeat the request.
 
 use std::time::Duration;
@@ -25,7 +25,8 @@
     pub enum UpstreamCondition {
         /// There is no evidence against it.
         Reachable,
-        /// Nothing that was sent to its zone since then has been answered, while other zones answer.
+        /// Nothing that was sent to its zone since then has been answered, while other zones answer,
+        /// and openings there were tried of late.
         ZoneUnreachable(Timestamp),
         /// Neither openings nor requests are answered, at this entry or at others.
         Silent,
--- a/crates/steer/tests/stranded.rs
+++ b/crates/steer/tests/stranded.rs
@@ -195,6 +195,30 @@
     assert_eq!(forwarded_to(action), Some(id));
 }
 
+/// Guards against resets of flows in a zone that can be reached again: as it is out of service, no
+/// opening is sent there, and none of its entries is left to answer a ping.
+#[test]
+fn on_packet_outage_without_recent_evidence_resets_nothing() {
+    let (mut engine, flows) = engine_with_long_flows(true);
+    let (port, id) = flow_in_zone(&engine, &flows, 1, true);
+    let cut = cut_zone_of(&mut engine, id);
+    let action = engine.on_packet(cut, &next_request(port, id, 1), &[]);
+    assert!(matches!(action, Action::Reset(_)), "the zone is unreachable at first: {action:?}");
+    let mut evacuated: Table = (**engine.table()).clone();
+    let in_zone = evacuated.upstreams.values_mut().filter(|upstream| upstream.zone.0 == 1);
+    in_zone.for_each(|upstream| upstream.accepts_new = false);
+    engine.apply(Arc::new(evacuated), ZONES[0]);
+    let (mut now, other_flows) = (cut, flows.iter().filter(|(other, _)| *other != port));
+    for step in 0..40_u16 {
+        now = now + Duration::from_millis(100);
+        open_and_answer(&mut engine, now, 30_000 + step);
+    }
+    for (port, id) in other_flows {
+        let action = engine.on_packet(now, &next_request(*port, *id, 1), &[]);
+        assert_eq!(forwarded_to(action), Some(*id));
+    }
+}
+
 /// An answer to a request that was sent after the zone was found unreachable proves the opposite.
 #[test]
 fn on_packet_answer_proves_the_zone_reachable() {
