health: an entry whose pinged peers are gone serves again

An entry that reaches no upstream of some service answers 503 until an entry of an unreachable zone answers a ping. Without clients it opens no flows, and if the entries that it had pinged are gone for good, no pong can come, so it stayed out of rotation after its way had healed.

A zone without entries to ping now counts as never pinged.

Evidence: should_serve_pinged_entries_are_gone fails without the change. Found by reading, not seen on a deployment.

--- a/crates/health/src/reachability.rs
+++ b/crates/health/src/reachability.rs
@@ -50,6 +50,7 @@
 #[derive(Debug, Clone, Default)]
 struct ZoneProbes {
     pending: IndexMap<u64, (SocketAddrV4, Timestamp)>,
+    /// Time of the first ping; `None` if the zone has no entry to ping.
     first_ping: Option<Timestamp>,
     last_ping: Option<Timestamp>,
     last_pong: Option<Timestamp>,
@@ -81,6 +82,10 @@
             probes.pending.retain(|_, (_, at)| now.since(*at) < PING_INTERVAL * 4);
             let in_zone: Vec<SocketAddrV4> =
                 members.iter().filter(|(of, _)| of == zone).map(|(_, to)| *to).collect();
+            if in_zone.is_empty() {
+                // Entries that are gone don't show whether the zone can be reached.
+                probes.first_ping = None;
+            }
             let next = in_zone.iter().cycle().skip(probes.pinged % in_zone.len().max(1));
             probes.pinged += PINGS_PER_ZONE;
             for &to in next.take(PINGS_PER_ZONE.min(in_zone.len())) {
--- a/crates/health/tests/reachability.rs
+++ b/crates/health/tests/reachability.rs
@@ -84,6 +84,19 @@
     assert!(!reach.should_serve(at(2_400)));
 }
 
+/// Guards against an entry that stays out of rotation: the entries that it pinged are gone for good,
+/// so that no pong can show that their zones are back.
+#[test]
+fn should_serve_pinged_entries_are_gone() {
+    let mut reach = cut_off();
+    reach.pings(at(0), &MEMBERS);
+    assert!(!reach.should_serve(at(1_000)));
+    reach.pings(at(10_000), &[]);
+    assert!(reach.should_serve(at(10_001)), "clients are accepted to test the upstreams");
+    reach.pings(at(10_400), &[]);
+    assert!(!reach.should_serve(at(10_401)), "and sent elsewhere if these don't answer");
+}
+
 #[test]
 fn pings_rate_is_limited() {
     let mut reach = cut_off();
