--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -33,6 +33,7 @@
                [NAME]              survival, balance, zone, slopes or path (default: all)
   soak       run the platform's programs on loopback with random faults
                --seeds FIRST..END  seeds of the runs (default: those of CI)
+               --large             80 entries instead of 4
   codegen    regenerate the committed protocol types
 ";
 
@@ -66,7 +67,8 @@
         Some("keys") => generate_keys(args),
         Some("soak") => {
             let seeds: Option<String> = args.opt_value_from_str("--seeds")?;
-            finish(args).and_then(|()| soak::run(seeds.as_deref()))
+            let is_large = args.contains("--large");
+            finish(args).and_then(|()| soak::run(seeds.as_deref(), is_large))
         }
         Some("measure") => {
             let name: Option<String> = args.opt_free_from_str()?;
