steer: a client's first packets may overtake each other

While the opening went to one upstream only, and not longer ago than a hedge would take, its token is accepted in any packet. Otherwise the packet waits, and is handled as soon as the flow opens here, not only when another entry knows it. A packet for which the answer of the other entries did not help is not looked up again.

--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -11,12 +11,12 @@
 use std::time::Duration;
 
 use health::Tally;
-use indexmap::IndexMap;
 use rustix::event::{PollFd, PollFlags, Timespec};
 use stdx::time::{Clock, Timestamp};
 use steer::decision::{Drop, Hedge};
 use steer::{
-    Action, Engine, Event, FlowKey, HoldQueue, Packet, Pin, Stats, Table, Token, UpstreamId, ZoneId,
+    Action, Engine, Event, FlowKey, HoldQueue, LookupQueue, Packet, Pin, Stats, Table, Token,
+    UpstreamId, ZoneId,
 };
 use tokio::sync::{mpsc as async_mpsc, watch};
 
@@ -48,12 +48,6 @@
 /// Messages to other entries queued for the control thread; further ones are dropped.
 const MAX_QUEUED_PEER_MESSAGES: usize = 64;
 
-/// Packets that wait for the answer to a lookup, one for each flow; further ones are dropped.
-const MAX_LOOKUPS: usize = 256;
-
-/// Longest time that a packet waits for the answer to a lookup. Clients retransmit it after 200 ms.
-const MAX_LOOKUP_TIME: Duration = Duration::from_millis(180);
-
 /// Interval of reports of counts.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -233,7 +227,7 @@
     engine: Engine,
     hold_queue: HoldQueue<Vec<u8>>,
     /// Packets whose flow's upstream other entries were asked for.
-    lookups: IndexMap<FlowKey, (Timestamp, Vec<u8>)>,
+    lookups: LookupQueue<Vec<u8>>,
     /// Flows that the other entries are to be asked for.
     unknown_flows: Vec<FlowKey>,
     out: Outputs,
@@ -256,7 +250,7 @@
             socket,
             clock,
             hold_queue: HoldQueue::default(),
-            lookups: IndexMap::new(),
+            lookups: LookupQueue::default(),
             unknown_flows: Vec::new(),
             out,
             counts: Counts::default(),
@@ -345,8 +339,10 @@
         }
         match self.engine.on_packet(now, &packet, &buf[ENCAP_BYTES..ENCAP_BYTES + len]) {
             Action::Forward(hop) => {
+                let flow = packet.flow;
                 (self.cfg.codec.set_token)(&mut buf[ENCAP_BYTES..], hop.token);
                 self.send_encapsulated(buf, len, hop.upstream, hop.addr);
+                self.replay_lookups(now, &flow, buf);
             }
             Action::Reset(reset) => {
                 let len = (self.cfg.codec.reset)(&reset, &mut buf[ENCAP_BYTES..]);
@@ -355,35 +351,32 @@
             }
             Action::Hold => self.hold(now, &buf[ENCAP_BYTES..ENCAP_BYTES + len]),
             Action::LookUp(flow) => {
-                self.queue_lookup(now, flow, &buf[ENCAP_BYTES..ENCAP_BYTES + len]);
+                let packet = buf[ENCAP_BYTES..ENCAP_BYTES + len].to_vec();
+                if self.lookups.push(now, flow, packet) {
+                    self.unknown_flows.push(flow);
+                }
             }
             Action::Drop(reason) => self.count_drop(reason),
         }
     }
 
-    fn queue_lookup(&mut self, now: Timestamp, flow: FlowKey, packet: &[u8]) {
-        self.lookups.retain(|_, (at, _)| now.since(*at) <= MAX_LOOKUP_TIME);
-        if self.lookups.len() >= MAX_LOOKUPS {
-            self.count_drop(Drop::UnknownToken);
-            return;
-        }
-        self.lookups.insert(flow, (now, packet.to_vec()));
-        self.unknown_flows.push(flow);
-    }
-
     /// Applies pins of another entry, and handles the packets that waited for them.
     fn on_pins(&mut self, now: Timestamp, pins: &[Pin]) {
         self.engine.on_pins(now, pins);
         let mut buf = [0_u8; ENCAP_BYTES + MAX_DATAGRAM_BYTES];
         for pin in pins {
-            let Some((at, packet)) = self.lookups.swap_remove(&pin.flow) else {
-                continue;
-            };
-            if now.since(at) > MAX_LOOKUP_TIME {
-                continue;
-            }
+            self.replay_lookups(now, &pin.flow, &mut buf);
+        }
+    }
+
+    /// Handles the queued packets of a flow whose upstream is known now. Uses `buf` for them.
+    fn replay_lookups(&mut self, now: Timestamp, flow: &FlowKey, buf: &mut [u8]) {
+        if self.lookups.is_empty() {
+            return;
+        }
+        for packet in self.lookups.take(now, flow) {
             buf[ENCAP_BYTES..ENCAP_BYTES + packet.len()].copy_from_slice(&packet);
-            self.on_datagram(now, &mut buf, packet.len());
+            self.on_datagram(now, buf, packet.len());
         }
     }
 
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -321,7 +321,7 @@
         let Some(upstream) = known.or(token_upstream) else {
             return self.look_up(now, packet);
         };
-        self.stats.corrected += u64::from(token_upstream != Some(upstream));
+        self.count_corrected(packet, upstream);
         let Some(upstream) = self.table.upstreams.get(&upstream) else {
             return Action::Drop(Drop::UnknownToken);
         };
@@ -414,9 +414,18 @@
         self.may_serve(route, pin.upstream).then_some(pin.upstream)
     }
 
+    /// Counts a packet whose token doesn't name the flow's upstream.
+    fn count_corrected(&mut self, packet: &Packet, upstream: UpstreamId) {
+        let (token, opening) = (upstream.token(), self.openings.get(&packet.flow));
+        let initial_seq = opening.map_or(packet.seq.wrapping_sub(1), |opening| opening.seq);
+        let is_named = packet.token == token || packet.token == token.bound_to(initial_seq);
+        self.stats.corrected += u64::from(!is_named);
+    }
+
     /// Handles a packet whose flow neither the token nor this entry's records identify.
     fn look_up(&mut self, now: Timestamp, packet: &Packet) -> Action {
-        if packet.rst || !self.lookup_budget.take(now, 1.0) {
+        let has_answer = self.pins.get(now, &packet.flow).is_some();
+        if packet.rst || has_answer || !self.lookup_budget.take(now, 1.0) {
             return Action::Drop(Drop::UnknownToken);
         }
         self.stats.lookups += 1;
@@ -426,11 +435,20 @@
     /// Opens the flow of a packet at the upstream whose answer it acknowledges, if it is tracked.
     fn track_opening(&mut self, now: Timestamp, packet: &Packet) {
         let token_upstream = self.upstream_by_token(packet);
+        let max_hedge_delay = self.cfg.max_hedge_delay;
         let Some(opening) = self.openings.get_mut(&packet.flow) else {
             return;
         };
         opening.last_packet_at = now;
-        let Some(upstream) = token_upstream else {
+        let only_attempt = || {
+            let mut attempts = opening.attempts();
+            let attempt = attempts.next().filter(|_| attempts.next().is_none())?;
+            let token = attempt.upstream.token().bound_to(opening.seq);
+            let is_recent = now.since(attempt.sent_at) <= max_hedge_delay;
+            (is_recent && packet.token == token).then_some(attempt.upstream)
+        };
+        // The client's first packets may arrive out of order.
+        let Some(upstream) = token_upstream.or_else(only_attempt) else {
             return;
         };
         if opening.stage != Stage::Opening || !packet.has_ack {
