--- a/crates/ibis-explain/src/cause.rs
+++ b/crates/ibis-explain/src/cause.rs
@@ -169,7 +169,9 @@
             _ => Cause::UpstreamEnded(upstream),
         };
     }
-    if let Some(line) = last("opening unanswered") {
+    // The entry that sent the opening sees no answer if the flow has moved to another entry.
+    let adopted = last("flow adopted");
+    if let Some(line) = last("opening unanswered").filter(|_| adopted.is_none()) {
         let upstream = line.upstream.clone().unwrap_or_default();
         let zone_failed = |other: &Line| {
             other.message == "zone avoided"
@@ -189,7 +191,7 @@
             _ => Cause::NoAnswer(upstream),
         };
     }
-    if let Some(line) = last("flow open") {
+    if let Some(line) = last("flow open").or(adopted) {
         let upstream = line.upstream.clone().unwrap_or_default();
         let failed = |other: &Line| {
             other.message == "upstream avoided"
--- a/crates/ibis-explain/tests/explain.rs
+++ b/crates/ibis-explain/tests/explain.rs
@@ -153,6 +153,16 @@
     assert_eq!(failed, Cause::UpstreamFailedLater(UPSTREAM_NAME.to_owned()));
 }
 
+/// A flow that moved during its handshake was not left unanswered.
+#[test]
+fn explain_adopted() {
+    let adopted = Event::Adopted { flow: flow(), upstream: UPSTREAM };
+    assert_eq!(
+        cause(&[(0, opened()), (7, adopted), (2_000, unanswered())]),
+        Cause::Opened(UPSTREAM_NAME.to_owned())
+    );
+}
+
 #[test]
 fn explain_no_lines() {
     let other = parse_log("entry-2", r#"{"timestamp":"t","level":"INFO","message":"started"}"#);
