steer: adoption, pins and lookups in a module of their own

A pin of another entry is followed only if its upstream may serve the flow's address, also when it opens a flow that is still tried here; until now this was checked for later packets only.

--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -20,7 +20,9 @@
 use crate::request::{AnswerFailure, AnswerOutcome, Request};
 use crate::selection::{FailureEffect, SelectError, UpstreamSelector};
 use crate::stranded::{self, Progress, ResetReason, UpstreamCondition};
-use crate::table::{Route, Table, Token, Upstream, UpstreamId, ZoneId};
+use crate::table::{Table, Token, Upstream, UpstreamId, ZoneId};
+
+mod pinning;
 
 /// Hedged requests that each opening adds to the budget; below 1, so that they can't double the
 /// load.
@@ -172,42 +174,6 @@
         self.selector.take_updates(now)
     }
 
-    /// Pins since the last call, for the other entries.
-    pub fn take_new_pins(&mut self) -> Vec<Pin> {
-        std::mem::take(&mut self.new_pins)
-    }
-
-    /// Returns all pins at the next call of [`Engine::take_new_pins`], so that the other entries
-    /// have them when this one stops.
-    pub fn share_all_pins(&mut self) {
-        self.new_pins = self.pins.iter().copied().collect();
-    }
-
-    /// Adds pins of another entry. A flow that this entry still tries to open is open.
-    pub fn on_pins(&mut self, now: Timestamp, pins: &[Pin]) {
-        for pin in pins {
-            self.pins.insert(now, *pin);
-            let is_opening = |opening: &Opening| {
-                opening.stage == Stage::Opening && opening.seq == pin.initial_seq
-            };
-            if self.openings.get(&pin.flow).is_some_and(is_opening) {
-                self.open(&pin.flow, pin.upstream, pin.first_ack);
-                self.selector.record_success(now, &self.table, pin.upstream);
-            }
-        }
-    }
-
-    /// What this entry knows of a flow's upstream, for an entry that does not know it.
-    pub fn find_pin(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Pin> {
-        if let Some(opening) = self.openings.get(flow)
-            && let Stage::Open { upstream, base } | Stage::Closed { upstream, base } = opening.stage
-        {
-            let (flow, initial_seq, first_ack) = (*flow, opening.seq, base);
-            return Some(Pin { flow, initial_seq, first_ack, upstream });
-        }
-        self.pins.get(now, flow)
-    }
-
     /// The current table.
     pub fn table(&self) -> &Arc<Table> {
         &self.table
@@ -351,36 +317,6 @@
         (self.track_end(packet), progress)
     }
 
-    /// Tracks a flow that another entry opened, if the packet is one of its first ones. The other
-    /// entry may not know that the flow is open and hedge it.
-    fn adopt(&mut self, now: Timestamp, packet: &Packet) {
-        let initial_seq = packet.seq.wrapping_sub(1);
-        let is_tracked =
-            self.openings.get(&packet.flow).is_some_and(|opening| opening.seq == initial_seq);
-        if is_tracked || packet.rst || !packet.has_ack {
-            return;
-        }
-        let Some(token_upstream) = self.upstream_named(packet, packet.token.bound_to(initial_seq))
-        else {
-            return;
-        };
-        let pinned = self.pins.get(now, &packet.flow).filter(|pin| pin.initial_seq == initial_seq);
-        let upstream = pinned.map_or(token_upstream, |pin| pin.upstream);
-        let Some(service) = self.table.upstreams.get(&upstream).map(|upstream| upstream.service)
-        else {
-            return;
-        };
-        let opening = Opening::new(now, service, initial_seq, None);
-        if let Some(evicted) = self.openings.insert(packet.flow, opening) {
-            self.release(&evicted);
-        }
-        self.stats.adopted += 1;
-        self.events.push(Event::Adopted { flow: packet.flow, upstream });
-        self.open(&packet.flow, upstream, packet.ack);
-        self.pin(now, &packet.flow);
-        self.schedule(now + OPEN_EXPIRY, &packet.flow);
-    }
-
     /// Opens a tracked flow at an upstream.
     fn open(&mut self, flow: &FlowKey, upstream: UpstreamId, base: u32) {
         let Some(opening) = self.openings.get_mut(flow) else {
@@ -396,24 +332,6 @@
         }
     }
 
-    /// Pins an open flow.
-    fn pin(&mut self, now: Timestamp, flow: &FlowKey) {
-        if let Some(pin) = self.find_pin(now, flow) {
-            self.stats.pinned += 1;
-            self.pins.insert(now, pin);
-            self.new_pins.push(pin);
-        }
-    }
-
-    /// The upstream of a pinned flow. The token tells whether the packet belongs to that flow and
-    /// not to another one on the same ports.
-    fn pinned_upstream(&mut self, now: Timestamp, packet: &Packet) -> Option<UpstreamId> {
-        let pin = self.pins.get(now, &packet.flow)?;
-        self.upstream_named(packet, packet.token.bound_to(pin.initial_seq))?;
-        let route = self.table.routes.get(&packet.flow.service)?;
-        self.may_serve(route, pin.upstream).then_some(pin.upstream)
-    }
-
     /// Counts a packet whose token doesn't name the flow's upstream.
     fn count_corrected(&mut self, packet: &Packet, upstream: UpstreamId) {
         let (token, opening) = (upstream.token(), self.openings.get(&packet.flow));
@@ -422,16 +340,6 @@
         self.stats.corrected += u64::from(!is_named);
     }
 
-    /// Handles a packet whose flow neither the token nor this entry's records identify.
-    fn look_up(&mut self, now: Timestamp, packet: &Packet) -> Action {
-        let has_answer = self.pins.get(now, &packet.flow).is_some();
-        if packet.rst || has_answer || !self.lookup_budget.take(now, 1.0) {
-            return Action::Drop(Drop::UnknownToken);
-        }
-        self.stats.lookups += 1;
-        Action::LookUp(packet.flow)
-    }
-
     /// Opens the flow of a packet at the upstream whose answer it acknowledges, if it is tracked.
     fn track_opening(&mut self, now: Timestamp, packet: &Packet) {
         let token_upstream = self.upstream_by_token(packet);
@@ -603,16 +511,17 @@
     }
 
     fn upstream_named(&self, packet: &Packet, token: Token) -> Option<UpstreamId> {
-        let route = self.table.routes.get(&packet.flow.service)?;
         let candidates = self.tokens.get(&token)?;
-        candidates.iter().copied().find(|id| self.may_serve(route, *id))
+        candidates.iter().copied().find(|id| self.may_serve(&packet.flow, *id))
     }
 
-    fn may_serve(&self, route: &Route, id: UpstreamId) -> bool {
-        self.table
-            .upstreams
-            .get(&id)
-            .is_some_and(|upstream| route.all_services.contains(&upstream.service))
+    /// Whether an upstream belongs to a service that the flow's route has ever named.
+    fn may_serve(&self, flow: &FlowKey, id: UpstreamId) -> bool {
+        let route = self.table.routes.get(&flow.service);
+        let upstream = self.table.upstreams.get(&id);
+        route
+            .zip(upstream)
+            .is_some_and(|(route, upstream)| route.all_services.contains(&upstream.service))
     }
 
     /// Handles a flow's timer: removes an expired record, or checks for an answer timeout and a due
--- /dev/null
+++ b/crates/steer/src/engine/pinning.rs
@@ -0,0 +1,111 @@
+//! Flows that this entry did not open, or whose token may name another upstream: adoption, pins and
+//! lookups.
+
+use stdx::time::Timestamp;
+
+use super::{Engine, OPEN_EXPIRY};
+use crate::decision::{Action, Drop, Event};
+use crate::openings::{Opening, Stage};
+use crate::packet::{FlowKey, Packet};
+use crate::pins::Pin;
+use crate::table::UpstreamId;
+
+impl Engine {
+    /// Pins since the last call, for the other entries.
+    pub fn take_new_pins(&mut self) -> Vec<Pin> {
+        std::mem::take(&mut self.new_pins)
+    }
+
+    /// Returns all pins at the next call of [`Engine::take_new_pins`], so that the other entries
+    /// have them when this one stops.
+    pub fn share_all_pins(&mut self) {
+        self.new_pins = self.pins.iter().copied().collect();
+    }
+
+    /// Adds pins of another entry. A flow that this entry still tries to open is open.
+    pub fn on_pins(&mut self, now: Timestamp, pins: &[Pin]) {
+        for pin in pins {
+            self.pins.insert(now, *pin);
+            let is_opening = |opening: &Opening| {
+                opening.stage == Stage::Opening && opening.seq == pin.initial_seq
+            };
+            if self.openings.get(&pin.flow).is_some_and(is_opening)
+                && self.may_serve(&pin.flow, pin.upstream)
+            {
+                self.open(&pin.flow, pin.upstream, pin.first_ack);
+                self.selector.record_success(now, &self.table, pin.upstream);
+            }
+        }
+    }
+
+    /// What this entry knows of a flow's upstream, for an entry that does not know it.
+    pub fn find_pin(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Pin> {
+        if let Some(opening) = self.openings.get(flow)
+            && let Stage::Open { upstream, base } | Stage::Closed { upstream, base } = opening.stage
+        {
+            let (flow, initial_seq, first_ack) = (*flow, opening.seq, base);
+            return Some(Pin { flow, initial_seq, first_ack, upstream });
+        }
+        self.pins.get(now, flow)
+    }
+
+    /// Tracks a flow that another entry opened, if the packet is one of its first ones. The other
+    /// entry may not know that the flow is open and hedge it.
+    pub(super) fn adopt(&mut self, now: Timestamp, packet: &Packet) {
+        let initial_seq = packet.seq.wrapping_sub(1);
+        let is_tracked =
+            self.openings.get(&packet.flow).is_some_and(|opening| opening.seq == initial_seq);
+        if is_tracked || packet.rst || !packet.has_ack {
+            return;
+        }
+        let Some(token_upstream) = self.upstream_named(packet, packet.token.bound_to(initial_seq))
+        else {
+            return;
+        };
+        let upstream = self.pinned_upstream(now, packet).unwrap_or(token_upstream);
+        let Some(service) = self.table.upstreams.get(&upstream).map(|upstream| upstream.service)
+        else {
+            return;
+        };
+        let opening = Opening::new(now, service, initial_seq, None);
+        if let Some(evicted) = self.openings.insert(packet.flow, opening) {
+            self.release(&evicted);
+        }
+        self.stats.adopted += 1;
+        self.events.push(Event::Adopted { flow: packet.flow, upstream });
+        self.open(&packet.flow, upstream, packet.ack);
+        self.pin(now, &packet.flow);
+        self.schedule(now + OPEN_EXPIRY, &packet.flow);
+    }
+
+    /// Pins an open flow.
+    pub(super) fn pin(&mut self, now: Timestamp, flow: &FlowKey) {
+        if let Some(pin) = self.find_pin(now, flow) {
+            self.stats.pinned += 1;
+            self.pins.insert(now, pin);
+            self.new_pins.push(pin);
+        }
+    }
+
+    /// The upstream of a pinned flow. The token tells whether the packet belongs to that flow and
+    /// not to another one on the same ports.
+    pub(super) fn pinned_upstream(
+        &mut self,
+        now: Timestamp,
+        packet: &Packet,
+    ) -> Option<UpstreamId> {
+        let pin = self.pins.get(now, &packet.flow)?;
+        self.upstream_named(packet, packet.token.bound_to(pin.initial_seq))?;
+        self.may_serve(&packet.flow, pin.upstream).then_some(pin.upstream)
+    }
+
+    /// Handles a packet whose flow neither the token nor this entry's records identify.
+    pub(super) fn look_up(&mut self, now: Timestamp, packet: &Packet) -> Action {
+        let has_answer = self.pins.get(now, &packet.flow).is_some();
+        if packet.rst || has_answer || !self.lookup_budget.take(now, 1.0) {
+            return Action::Drop(Drop::UnknownToken);
+        }
+        self.stats.lookups += 1;
+        Action::LookUp(packet.flow)
+    }
+}
