--- a/crates/steer/tests/pins.rs
+++ b/crates/steer/tests/pins.rs
@@ -145,3 +145,15 @@
     pins.insert(at(124_000), pin(5));
     assert_eq!(pins.get(at(124_000), &flow(1)), None);
 }
+
+/// A faulty pin doesn't open a flow at an upstream of another service.
+#[test]
+fn on_pins_upstream_of_another_service() {
+    let mut entry = engine(table());
+    let opening = entry.on_packet(at(0), &opening_packet(1), &OPENING_BYTES);
+    let upstream = UpstreamId(0x200);
+    entry.on_pins(at(1), &[Pin { flow: flow(1), initial_seq: 1, first_ack: 5_000, upstream }]);
+    let first_ack = ack_packet(1, forwarded_to(opening).unwrap(), 5_000);
+    let first_ack = Packet { token: opening_token(opening), ..first_ack };
+    assert_eq!(forwarded_to(entry.on_packet(at(6), &first_ack, &[])), forwarded_to(opening));
+}
