steer: the token of an opening is looked at only if the plain one names nothing

Every packet of an open flow looked up its token a second time, bound to its sequence number, to see whether the flow has to be adopted. The plain token is now looked up first, and once instead of twice as before the change.

--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -280,9 +280,12 @@
         else {
             return self.on_unrouted(packet);
         };
-        self.adopt(now, packet);
-        let (upstream, progress) = self.track_flow(now, packet);
-        let token_upstream = self.upstream_by_token(packet);
+        let mut token_upstream = self.upstream_named(packet, packet.token);
+        if token_upstream.is_none() {
+            token_upstream = self.upstream_of_opening(packet);
+            self.adopt(now, packet, token_upstream);
+        }
+        let (upstream, progress) = self.track_flow(now, packet, token_upstream);
         let known = upstream.or_else(|| self.pinned_upstream(now, packet));
         let Some(upstream) = known.or(token_upstream) else {
             return self.look_up(now, packet);
@@ -309,10 +312,15 @@
         Action::Drop(Drop::NoRoute)
     }
 
-    /// Updates the flow's record with a packet. Returns the flow's upstream if it is tracked, and
+    /// Updates the flow's record with a packet; `token_upstream` is named by its token. Returns the flow's upstream if it is tracked, and
     /// the flow's progress.
-    fn track_flow(&mut self, now: Timestamp, packet: &Packet) -> (Option<UpstreamId>, Progress) {
-        self.track_opening(now, packet);
+    fn track_flow(
+        &mut self,
+        now: Timestamp,
+        packet: &Packet,
+        token_upstream: Option<UpstreamId>,
+    ) -> (Option<UpstreamId>, Progress) {
+        self.track_opening(now, packet, token_upstream);
         let progress = self.track_answer(now, packet);
         (self.track_end(packet), progress)
     }
@@ -341,8 +349,12 @@
     }
 
     /// Opens the flow of a packet at the upstream whose answer it acknowledges, if it is tracked.
-    fn track_opening(&mut self, now: Timestamp, packet: &Packet) {
-        let token_upstream = self.upstream_by_token(packet);
+    fn track_opening(
+        &mut self,
+        now: Timestamp,
+        packet: &Packet,
+        token_upstream: Option<UpstreamId>,
+    ) {
         let max_hedge_delay = self.cfg.max_hedge_delay;
         let Some(opening) = self.openings.get_mut(&packet.flow) else {
             return;
@@ -500,16 +512,15 @@
         }
     }
 
-    /// The upstream that a packet's token names, among the services that its route has ever named.
-    ///
-    /// The token of an opening counts only in the client's first packets, whose sequence number
-    /// follows the opening's. Later on an upstream that did not get the flow may have sent it.
-    fn upstream_by_token(&self, packet: &Packet) -> Option<UpstreamId> {
+    /// The upstream that the token of an opening names in one of the client's first packets, whose
+    /// sequence number follows the opening's. In a later packet it names none: an upstream that did
+    /// not get the flow may have sent it.
+    fn upstream_of_opening(&self, packet: &Packet) -> Option<UpstreamId> {
         let initial_seq = packet.seq.wrapping_sub(1);
-        self.upstream_named(packet, packet.token)
-            .or_else(|| self.upstream_named(packet, packet.token.bound_to(initial_seq)))
+        self.upstream_named(packet, packet.token.bound_to(initial_seq))
     }
 
+    /// The upstream that a token names, among the services that the packet's route has ever named.
     fn upstream_named(&self, packet: &Packet, token: Token) -> Option<UpstreamId> {
         let candidates = self.tokens.get(&token)?;
         candidates.iter().copied().find(|id| self.may_serve(&packet.flow, *id))
--- a/crates/steer/src/engine/pinning.rs
+++ b/crates/steer/src/engine/pinning.rs
@@ -49,17 +49,22 @@
         self.pins.get(now, flow)
     }
 
-    /// Tracks a flow that another entry opened, if the packet is one of its first ones. The other
-    /// entry may not know that the flow is open and hedge it.
-    pub(super) fn adopt(&mut self, now: Timestamp, packet: &Packet) {
+    /// Tracks a flow that another entry opened, if the packet is one of its first ones: its token is
+    /// that of an opening and names `token_upstream`. The other entry may not know that the flow is
+    /// open and hedge it.
+    pub(super) fn adopt(
+        &mut self,
+        now: Timestamp,
+        packet: &Packet,
+        token_upstream: Option<UpstreamId>,
+    ) {
         let initial_seq = packet.seq.wrapping_sub(1);
         let is_tracked =
             self.openings.get(&packet.flow).is_some_and(|opening| opening.seq == initial_seq);
         if is_tracked || packet.rst || !packet.has_ack {
             return;
         }
-        let Some(token_upstream) = self.upstream_named(packet, packet.token.bound_to(initial_seq))
-        else {
+        let Some(token_upstream) = token_upstream else {
             return;
         };
         let upstream = self.pinned_upstream(now, packet).unwrap_or(token_upstream);
