--- a/crates/node/tests/pins.rs
+++ b/crates/node/tests/pins.rs
@@ -1,5 +1,7 @@
 //! The entries that hold a flow's pin, and the messages between them.
 
+mod support;
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use directory::Member;
@@ -8,16 +10,7 @@
 use peer_proto::v1;
 use peer_proto::v1::reach::Kind;
 use steer::{FlowKey, Pin, UpstreamId};
-
-fn fleet(count: u16) -> Vec<(String, Member)> {
-    let member = |number| Member {
-        addr: SocketAddrV4::new(Ipv4Addr::LOCALHOST, number),
-        zone: "a".to_owned(),
-        incarnation: 1,
-        link_mbps: 10,
-    };
-    (0..count).map(|number| (format!("entry-{number}"), member(number))).collect()
-}
+use support::fleet;
 
 fn flow(port: u16) -> FlowKey {
     FlowKey {
--- a/crates/node/tests/update_recipients.rs
+++ b/crates/node/tests/update_recipients.rs
@@ -1,20 +1,13 @@
 //! The entries to which an entry sends outcome updates.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+mod support;
+
+use std::net::SocketAddrV4;
 
 use directory::Member;
 use indexmap::IndexMap;
 use node::control;
-
-fn fleet(count: u16) -> Vec<(String, Member)> {
-    let member = |number| Member {
-        addr: SocketAddrV4::new(Ipv4Addr::LOCALHOST, number),
-        zone: "a".to_owned(),
-        incarnation: 1,
-        link_mbps: 10,
-    };
-    (0..count).map(|number| (format!("entry-{number}"), member(number))).collect()
-}
+use support::fleet;
 
 fn recipients(fleet: &[(String, Member)], own: usize) -> Vec<SocketAddrV4> {
     let members = fleet.iter().map(|(name, member)| (name.as_str(), member));
