--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A write of an endpoint is done 6 s late; meanwhile a new endpoint runs at its address. 20 s.
+# A write of an endpoint is done 6 s late; meanwhile it has crashed and started again, under a new id. 20 s.
 # Needs the build of the deploy file and review/build-2.sh. Exits with 1 if the rule was broken, 0 if it
 # held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 here="$(cd "$(dirname "$0")" && pwd)" || exit 2
