--- a/review/standins-2/endpoint.rs
+++ b/review/standins-2/endpoint.rs
@@ -1,6 +1,6 @@
 //! An endpoint as PROTOCOL.md describes it: two slots, a queue of eight, flows over UDP.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::{SocketAddrV4, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -37,6 +37,10 @@
     pub draining: AtomicBool,
     /// Open flows by the client's end, with this end's first sequence number.
     open: Mutex<HashMap<SocketAddrV4, u32>>,
+    /// Clients' ends to which this endpoint has sent a reset.
+    resets: Mutex<HashSet<SocketAddrV4>>,
+    /// Share of its answers to openings that the network loses.
+    loss: f64,
     record: Arc<Record>,
     client_port: u16,
 }
@@ -80,6 +84,7 @@
         service: &str,
         work: Work,
         client_port: u16,
+        loss: f64,
         record: &Arc<Record>,
     ) -> Arc<Self> {
         let endpoint = Arc::new(Self {
@@ -93,6 +98,8 @@
             alive: AtomicBool::new(true),
             draining: AtomicBool::new(false),
             open: Mutex::default(),
+            resets: Mutex::default(),
+            loss,
             record: Arc::clone(record),
             client_port,
         });
@@ -119,6 +126,11 @@
         self.alive.load(Ordering::Relaxed) && self.open.lock().unwrap().get(&client) == Some(&isn)
     }
 
+    /// Whether this endpoint has sent a reset to a client's end.
+    pub fn has_reset(&self, client: SocketAddrV4) -> bool {
+        self.resets.lock().unwrap().contains(&client)
+    }
+
     fn run(&self, socket: &UdpSocket) {
         let mut flows: HashMap<SocketAddrV4, Flow> = HashMap::new();
         let mut queue: VecDeque<Job> = VecDeque::new();
@@ -336,6 +348,12 @@
     }
 
     fn send(&self, socket: &UdpSocket, packet: &Packet) {
+        if packet.is(RST) {
+            self.resets.lock().unwrap().insert(packet.dst);
+        }
+        if packet.is(SYN) && wire::unit() < self.loss {
+            return;
+        }
         let to = SocketAddrV4::new(*packet.dst.ip(), self.client_port);
         let _lost = socket.send_to(&packet.encode(), to);
     }
@@ -365,12 +383,17 @@
     }
 }
 
-/// Takes a whole request from the front of the bytes of a flow.
+/// Takes a whole request from the front of the bytes of a flow. Returns its head.
 fn take_request(input: &mut Vec<u8>) -> Option<String> {
     let end = input.windows(4).position(|four| four == b"\r\n\r\n")? + 4;
-    let rest = input.split_off(end);
-    let request = String::from_utf8_lossy(&std::mem::replace(input, rest)).into_owned();
-    Some(request)
+    let head = String::from_utf8_lossy(&input[..end]).into_owned();
+    let length = head.split_once("Content-Length: ").map_or("0", |(_, rest)| rest);
+    let length: usize = length.split("\r\n").next().and_then(|n| n.parse().ok()).unwrap_or(0);
+    if input.len() < end + length {
+        return None;
+    }
+    input.drain(..end + length);
+    Some(head)
 }
 
 fn id_of(request: &str) -> &str {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,10 +6,12 @@
 mod fleet;
 mod late;
 mod node;
+mod opened;
 mod record;
 mod silent;
 mod site;
 mod store;
+mod unlisted;
 mod wire;
 
 use std::process::exit;
@@ -34,7 +36,9 @@
     let record = Arc::new(Record::create(&path));
     let ran = match case.as_str() {
         "late" => late::run(&record, trouble),
+        "opened" => opened::run(&record, trouble),
         "silent" => silent::run(&record, trouble),
+        "unlisted" => unlisted::run(&record, trouble),
         _ => cannot_run("no such case"),
     };
     let breaks = record.breaks();
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -30,6 +30,8 @@
 }
 
 pub struct Store {
+    /// The key whose next write is done 6 s late and not answered.
+    late: Mutex<Option<String>>,
     state: Mutex<State>,
     changed: Condvar,
 }
@@ -37,7 +39,11 @@
 impl Store {
     pub fn start(addr: SocketAddrV4) -> Arc<Self> {
         let state = State { revision: 10, ..State::default() };
-        let store = Arc::new(Self { state: Mutex::new(state), changed: Condvar::new() });
+        let store = Arc::new(Self {
+            late: Mutex::default(),
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+        });
         let listener = TcpListener::bind(addr).unwrap_or_else(|_| crate::cannot_run("store"));
         let serving = Arc::clone(&store);
         thread::spawn(move || {
@@ -56,6 +62,11 @@
         store
     }
 
+    /// Has the next write of a key done 6 s late and not answered.
+    pub fn lose_write(&self, key: &str) {
+        *self.late.lock().unwrap() = Some(key.to_owned());
+    }
+
     pub fn put(&self, key: &str, json: &str) {
         self.put_raw(key, &wire::base64(json.as_bytes()), 0);
     }
@@ -113,7 +124,7 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(self: &Arc<Self>, stream: TcpStream) {
         let _kept_nagle = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
@@ -145,6 +156,11 @@
             }
             // The store takes 4 ms for an answer.
             thread::sleep(Duration::from_millis(4));
+            if self.is_lost(&method, &target, &body) {
+                // Nothing further comes on this connection.
+                thread::sleep(Duration::from_secs(200));
+                return;
+            }
             let (status, body) = self.answer(&method, &target, &String::from_utf8_lossy(&body));
             let head = format!(
                 "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
@@ -156,6 +172,23 @@
         }
     }
 
+    /// Whether the answer to a call is lost; the call is done later.
+    fn is_lost(self: &Arc<Self>, method: &str, target: &str, body: &[u8]) -> bool {
+        let body = String::from_utf8_lossy(body).into_owned();
+        let key = json_text(&body, "key");
+        let mut late = self.late.lock().unwrap();
+        if method != "POST" || target != "/kv-txn" || late.is_none() || *late != key {
+            return false;
+        }
+        *late = None;
+        let store = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(Duration::from_secs(6));
+            store.answer("POST", "/kv-txn", &body);
+        });
+        true
+    }
+
     fn answer(&self, method: &str, target: &str, body: &str) -> (u16, String) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let text = |name: &str| {
