directory: an address is held by the upstream that started last

Cause: the upstream whose record was created last was taken to have the address, and all others there to have ended. A late write is a second explanation of that order.

Change: the holder is the one with the latest start; another one has ended only if it also registered earlier. Where both orders contradict each other it gets no new flows and keeps its open ones. This holds for upstreams without a record, for facts given at a start and for what is held across a step of the store, too. The log line 'upstream ended' names both upstreams and their starts; 'contested' in the line 'table' and ibis_upstreams_contested count contradictions.

Why it works: a start is told by the upstream itself and does not depend on when the store executes a write; differing clocks alone end nothing, as registration has to agree.

--- a/crates/directory/src/state.rs
+++ b/crates/directory/src/state.rs
@@ -59,6 +59,9 @@
         pub entries: u32,
         /// Number of upstreams and zones for which words hold that the store has lost.
         pub held: usize,
+        /// Number of listed upstreams without new flows because another one at their address started
+        /// later, although it registered earlier.
+        pub contested: usize,
     }
 }
 
@@ -113,6 +116,26 @@
     hold: Option<Hold>,
 }
 
+/// The upstream that has an address.
+#[derive(Debug, Clone, Copy)]
+struct AddressHolder {
+    id: UpstreamId,
+    started_ms: Option<u64>,
+    created: Revision,
+}
+
+/// What the records at an address say of one of its upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AddressClaim {
+    /// It has the address.
+    Holds,
+    /// Another upstream is listed there, but did not both start and register later. The store may
+    /// have executed a write late, or the clocks of two machines differ.
+    Contested,
+    /// Another upstream started there and registered later.
+    PassedOn,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Removal {
     since: Timestamp,
@@ -398,11 +421,13 @@
             };
         }
         let holders = self.address_holders(now);
-        let upstream = |(id, stored): (&UpstreamId, &StoredUpstream)| {
-            let holds_address = holders.get(&stored.spec.addr).is_none_or(|holder| holder == id);
-            (*id, self.upstream(now, *id, stored, holds_address))
-        };
-        table.upstreams = self.upstreams.iter().map(upstream).collect();
+        let mut contested = 0;
+        for (id, stored) in &self.upstreams {
+            let claim = address_claim(&holders, *id, stored);
+            let is_contested = claim == AddressClaim::Contested && self.is_listed(now, stored);
+            contested += usize::from(is_contested);
+            table.upstreams.insert(*id, self.upstream(now, *id, stored, claim));
+        }
         let change = TableChange {
             version_before: self.last_change.version,
             version: table.version,
@@ -411,6 +436,7 @@
             zones_out: self.zones_out.len(),
             entries: table.entries.len() as u32,
             held: self.held(now),
+            contested,
         };
         self.last_change = change;
         (table, change)
@@ -452,23 +478,30 @@
         })
     }
 
-    /// The upstream that holds each address: the one that registered last. Addresses are reused
-    /// only after their upstream has ended, which may be before its record is removed. Records with
-    /// a service that is not configured may come from other writers and prove nothing.
-    fn address_holders(&self, now: Timestamp) -> IndexMap<SocketAddrV4, UpstreamId> {
+    /// The upstream that holds each address: the one that started last. The order of registration
+    /// does not tell, because the store may execute a write seconds after its writer has ended.
+    /// Addresses are reused only after their upstream has ended, which may be before its record is
+    /// removed. Records with a service that is not configured may come from other writers and prove
+    /// nothing.
+    fn address_holders(&self, now: Timestamp) -> IndexMap<SocketAddrV4, AddressHolder> {
         let is_configured = |name: &str| {
             self.config.iter().flat_map(|c| &c.services).any(|service| service.name == name)
         };
-        // Ordered by their creation.
         let is_listed = |stored: &StoredUpstream| {
             self.is_listed(now, stored)
                 && self.active_hold(now, stored).is_none_or(|hold| !hold.gone)
         };
-        let listed = self.upstreams.iter().filter(|(_, stored)| is_listed(stored));
-        listed
-            .filter(|(_, stored)| is_configured(&stored.spec.service))
-            .map(|(id, stored)| (stored.spec.addr, *id))
-            .collect()
+        let mut listed: Vec<(&UpstreamId, &StoredUpstream)> = self
+            .upstreams
+            .iter()
+            .filter(|(_, stored)| is_listed(stored) && is_configured(&stored.spec.service))
+            .collect();
+        listed.sort_by_key(|(id, stored)| (stored.spec.started_ms, stored.created, **id));
+        let holder = |(id, stored): (&UpstreamId, &StoredUpstream)| {
+            let (started_ms, created) = (stored.spec.started_ms, stored.created);
+            (stored.spec.addr, AddressHolder { id: *id, started_ms, created })
+        };
+        listed.into_iter().map(holder).collect()
     }
 
     fn upstream(
@@ -476,7 +509,7 @@
         now: Timestamp,
         id: UpstreamId,
         stored: &StoredUpstream,
-        holds_address: bool,
+        claim: AddressClaim,
     ) -> Upstream {
         let spec = &stored.spec;
         let zone = self.zone_ids.get_index_of(&spec.zone).unwrap_or_default();
@@ -492,13 +525,13 @@
             service: self.service_id(&spec.service),
             slots: spec.slots,
             accepts_new: listed
-                && holds_address
+                && claim == AddressClaim::Holds
                 && !spec.leaving
                 && hold.is_none()
                 && !self.zones_out.contains_key(&spec.zone),
             cold_until: stored.cold_until.max(cold_by_zone.unwrap_or_default()),
             started_ms: spec.started_ms,
-            ended: !holds_address
+            ended: claim == AddressClaim::PassedOn
                 || stored.removal.is_some_and(|removal| removal.ended)
                 || hold.is_some_and(|hold| hold.ended),
             unlisted: !listed || hold.is_some_and(|hold| hold.gone),
@@ -636,3 +669,18 @@
         self.members.retain(|_, stored| !stored.removed_at.is_some_and(old));
     }
 }
+
+fn address_claim(
+    holders: &IndexMap<SocketAddrV4, AddressHolder>,
+    id: UpstreamId,
+    stored: &StoredUpstream,
+) -> AddressClaim {
+    let Some(holder) = holders.get(&stored.spec.addr).filter(|holder| holder.id != id) else {
+        return AddressClaim::Holds;
+    };
+    if holder.created > stored.created && holder.started_ms >= stored.spec.started_ms {
+        AddressClaim::PassedOn
+    } else {
+        AddressClaim::Contested
+    }
+}
--- a/crates/directory/src/state/eras.rs
+++ b/crates/directory/src/state/eras.rs
@@ -7,7 +7,7 @@
 use stdx::time::Timestamp;
 use steer::UpstreamId;
 
-use super::{Directory, StoreTrust, StoredUpstream};
+use super::{AddressClaim, AddressHolder, Directory, StoreTrust, StoredUpstream};
 use crate::record::Revision;
 
 /// Whether words of an earlier era hold although the store has lost them.
@@ -64,14 +64,17 @@
         now: Timestamp,
         id: UpstreamId,
         stored: &StoredUpstream,
-        holders: &IndexMap<SocketAddrV4, UpstreamId>,
+        holders: &IndexMap<SocketAddrV4, AddressHolder>,
     ) -> Option<Hold> {
         let before = self.active_hold(now, stored);
-        let passed_on = holders.get(&stored.spec.addr).is_some_and(|holder| *holder != id);
+        let claim = super::address_claim(holders, id, stored);
+        let passed_on = claim == AddressClaim::PassedOn;
         let removed = stored.removal.is_some_and(|removal| removal.ended);
         let hold = Hold {
             leaving: stored.spec.leaving || before.is_some_and(|hold| hold.leaving),
-            gone: passed_on || !self.is_listed(now, stored) || before.is_some_and(|hold| hold.gone),
+            gone: claim != AddressClaim::Holds
+                || !self.is_listed(now, stored)
+                || before.is_some_and(|hold| hold.gone),
             ended: passed_on || removed || before.is_some_and(|hold| hold.ended),
         };
         (hold.leaving || hold.gone).then_some(hold)
--- a/crates/directory/src/state/given.rs
+++ b/crates/directory/src/state/given.rs
@@ -8,7 +8,7 @@
 use steer::UpstreamId;
 
 use super::eras::EarlierWords;
-use super::{Directory, StoreTrust, StoredUpstream};
+use super::{AddressClaim, Directory, StoreTrust, StoredUpstream};
 use crate::record::{Record, RecordKey, RecordValue, Revision};
 
 /// Upstreams of each service in the first part, enough to serve with until the others are there.
@@ -84,8 +84,8 @@
             .upstreams
             .iter()
             .filter_map(|(id, stored)| {
-                let holds_address = holders.get(&stored.spec.addr).is_none_or(|at| at == id);
-                let record = self.upstream_fact(now, *id, stored, holds_address)?;
+                let claim = super::address_claim(&holders, *id, stored);
+                let record = self.upstream_fact(now, *id, stored, claim)?;
                 Some((order(*id), record))
             })
             .collect();
@@ -148,9 +148,9 @@
         now: Timestamp,
         id: UpstreamId,
         stored: &StoredUpstream,
-        holds_address: bool,
+        claim: AddressClaim,
     ) -> Option<Record> {
-        let upstream = self.upstream(now, id, stored, holds_address);
+        let upstream = self.upstream(now, id, stored, claim);
         if upstream.ended {
             return None;
         }
--- a/crates/directory/tests/state.rs
+++ b/crates/directory/tests/state.rs
@@ -462,6 +462,26 @@
     assert!(!taker.ended && taker.accepts_new);
 }
 
+/// The store may execute an upstream's last write seconds after it has crashed, when another one runs
+/// at its address. Guards against resets of the flows of the living one.
+#[test]
+fn table_late_record_at_an_address_ends_nothing() {
+    let mut directory = loaded_directory();
+    let taker = UpstreamSpec { addr: spec(1).addr, started_ms: Some(8), ..spec(9) };
+    directory.apply(at(100), upstream(20, taker));
+    directory.apply(at(200), removed(21, RecordKey::Upstream(UpstreamId(1))));
+    let late = Record { created: rev(30), ..upstream(30, spec(1)) };
+    directory.apply(at(6_000), late);
+    let (current, change) = directory.table(at(6_000), "me");
+    let (late, taker) = (upstream_of(&current, 1), upstream_of(&current, 9));
+    assert!(!taker.ended && taker.accepts_new && !late.accepts_new);
+    assert_eq!(change.contested, 1);
+    // Without its record the living upstream may have lost the store only.
+    directory.apply(at(7_000), removed(31, RecordKey::Upstream(UpstreamId(9))));
+    let current = table(&mut directory, at(7_000));
+    assert!(!upstream_of(&current, 9).ended && upstream_of(&current, 9).unlisted);
+}
+
 /// A record of a service that is not configured was not written by an upstream.
 #[test]
 fn table_address_in_a_foreign_record_ends_nothing() {
--- a/crates/node/src/event_log.rs
+++ b/crates/node/src/event_log.rs
@@ -7,7 +7,9 @@
 use health::OutlierState;
 use metrics::{counter, gauge, histogram};
 use stdx::time::Timestamp;
-use steer::{AnswerFailure, Event, FlowKey, Refusal, ResetReason, Table, UpstreamId, ZoneId};
+use steer::{
+    AnswerFailure, Event, FlowKey, Refusal, ResetReason, Table, Upstream, UpstreamId, ZoneId,
+};
 
 use crate::logs::RateLimit;
 use crate::traffic::Counts;
@@ -79,6 +81,7 @@
         gauge!("ibis_upstreams_eligible").set(change.eligible as f64);
         gauge!("ibis_entries").set(f64::from(change.entries));
         gauge!("ibis_store_words_held").set(change.held as f64);
+        gauge!("ibis_upstreams_contested").set(change.contested as f64);
         tracing::info!(
             version = change.version,
             upstreams = table.upstreams.len(),
@@ -87,8 +90,30 @@
             zones_out = change.zones_out,
             entries = change.entries,
             held = change.held,
+            contested = change.contested,
             "table"
         );
+        self.log_ended(table);
+    }
+
+    /// Logs upstreams that have ended since the last table, and which one has their address now:
+    /// resets with the reason `upstream_ended` follow.
+    fn log_ended(&self, table: &Table) {
+        let had_run = |upstream: &&Upstream| {
+            self.table.upstreams.get(&upstream.id).is_some_and(|before| !before.ended)
+        };
+        let ended = table.upstreams.values().filter(|upstream| upstream.ended).filter(had_run);
+        for upstream in ended.take(MAX_FAILURE_LINES_PER_S as usize) {
+            let has_address = |other: &&Upstream| other.addr == upstream.addr && !other.ended;
+            let taker = table.upstreams.values().find(has_address);
+            tracing::info!(
+                upstream = self.describe(upstream.id),
+                started_ms = upstream.started_ms,
+                address_passed_to = taker.map(|taker| format!("{:x}", taker.id.0)),
+                taker_started_ms = taker.and_then(|taker| taker.started_ms),
+                "upstream ended"
+            );
+        }
     }
 
     /// Logs an event of the engine.
