directory: a late record of an earlier start does not announce a stop

Callers could have lost the flows of a living upstream: it drained, crashed and started again under its id, the store executed a 'draining' write of the earlier start late, and the record ran out while the upstream could not reach the store. A removal after 'draining' was taken for a planned stop.

Cause: the start in the record was not compared with the latest known one.

Change: the latest start under an id is kept; a record of an earlier one is no evidence of a stop.

Evidence: apply_late_leaving_record_of_an_earlier_start_ends_nothing fails without the change; directory's tests pass.

--- a/crates/directory/src/state.rs
+++ b/crates/directory/src/state.rs
@@ -111,6 +111,8 @@
     spec: UpstreamSpec,
     revision: Revision,
     created: Revision,
+    /// Latest start that was recorded under its id.
+    last_start_ms: Option<u64>,
     cold_until: Timestamp,
     removal: Option<Removal>,
     hold: Option<Hold>,
@@ -605,14 +607,26 @@
             .map(|stored| stored.created)
             .filter(|known| is_old_creation && known.number == created.number)
             .unwrap_or(created);
-        let stored = StoredUpstream { spec, revision, created, cold_until, removal: None, hold };
+        let last_start_ms = spec.started_ms.max(current.and_then(|stored| stored.last_start_ms));
+        let stored = StoredUpstream {
+            spec,
+            revision,
+            created,
+            last_start_ms,
+            cold_until,
+            removal: None,
+            hold,
+        };
         self.upstreams.insert(id, stored);
     }
 
     fn mark_upstream_removed(&mut self, now: Timestamp, id: UpstreamId) {
         let unconfirmed = self.distrusts_removals(now);
         if let Some(stored) = self.upstreams.get_mut(&id) {
-            let leaving = stored.spec.leaving || stored.hold.is_some_and(|hold| hold.leaving);
+            // A late write of an earlier start does not say that the current one leaves.
+            let is_current = stored.spec.started_ms >= stored.last_start_ms;
+            let leaving =
+                stored.spec.leaving && is_current || stored.hold.is_some_and(|hold| hold.leaving);
             let ended = leaving && !unconfirmed || stored.hold.is_some_and(|hold| hold.ended);
             stored.removal.get_or_insert(Removal { since: now, ended, unconfirmed });
         }
--- a/crates/directory/tests/state.rs
+++ b/crates/directory/tests/state.rs
@@ -482,6 +482,18 @@
     assert!(!upstream_of(&current, 9).ended && upstream_of(&current, 9).unlisted);
 }
 
+/// An upstream that drained, crashed and started again under its id loses the store after its earlier
+/// start's last write was executed late. Guards against resets of its flows.
+#[test]
+fn apply_late_leaving_record_of_an_earlier_start_ends_nothing() {
+    let mut directory = loaded_directory();
+    directory.apply(at(100), upstream(20, UpstreamSpec { started_ms: Some(8), ..spec(2) }));
+    directory.apply(at(6_000), upstream(21, UpstreamSpec { leaving: true, ..spec(2) }));
+    directory.apply(at(9_600), removed(22, RecordKey::Upstream(UpstreamId(2))));
+    let current = table(&mut directory, at(9_600));
+    assert!(!upstream_of(&current, 2).ended && upstream_of(&current, 2).unlisted);
+}
+
 /// A record of a service that is not configured was not written by an upstream.
 #[test]
 fn table_address_in_a_foreign_record_ends_nothing() {
