steer: first packets of flows from other entries wait for those that may know them

Cause: a client returns the token of the answer that came last. If the opening was hedged, that may be the repeated answer of the upstream that lost the flow. Only an entry that knows the flow corrects this; one that had just started read the token of the first packet and followed it without asking the holders of the flow's pin. An entry that is no holder did the same without a restart.

Change: an entry that gets a flow's first packet without its opening asks the flow's holders first and keeps the packets back. Holders now answer for flows that they don't know, so that the packets go on when all have answered; after 150 ms they go by the token. At most 128 flows wait at a time. Counted in the line 'counts' and in ibis_flow_inquiries_*.

--- a/crates/fakes/src/token_steering/entry.rs
+++ b/crates/fakes/src/token_steering/entry.rs
@@ -10,7 +10,7 @@
 use node::event_log::EventLogger;
 use stdx::hash;
 use stdx::time::Timestamp;
-use steer::{Backlog, Engine, HoldQueue, Packet, Table, UpstreamId};
+use steer::{Backlog, Engine, HoldQueue, LookupQueue, Packet, Table, UpstreamId};
 use tracing::Dispatch;
 use tracing::dispatcher;
 
@@ -74,6 +74,8 @@
     pub backlog: Backlog,
     /// Packets held until the first table is available.
     pub hold_queue: HoldQueue<Packet>,
+    /// Packets whose flow's upstream the other entries were asked for.
+    pub lookups: LookupQueue<Packet>,
     event_logger: EventLogger,
     log: Dispatch,
 }
@@ -112,6 +114,7 @@
             reachability: Reachability::default(),
             backlog: Backlog::new(now),
             hold_queue: HoldQueue::default(),
+            lookups: LookupQueue::default(),
             event_logger: EventLogger::new(),
             log,
         }
--- a/crates/fakes/src/token_steering/simulation.rs
+++ b/crates/fakes/src/token_steering/simulation.rs
@@ -221,6 +221,7 @@
         OpeningTimeout(FlowKey),
         PacketAtEntry(usize, u32, Packet),
         PinAtEntry(usize, u32, Pin),
+        AnsweredAtEntry(usize, u32, FlowKey),
         PacketAtUpstream(Hop, Packet, usize),
         /// Answers an opening, after the given number of copies.
         AnswerOpening(FlowKey, UpstreamId, u32),
@@ -471,6 +472,9 @@
             Event::PinAtEntry(index, generation, pin) => {
                 self.on_pin_at_entry(index, generation, pin);
             }
+            Event::AnsweredAtEntry(index, generation, flow) => {
+                self.on_answered_at_entry(index, generation, flow);
+            }
             Event::PacketAtUpstream(hop, packet, index) => {
                 self.on_packet_at_upstream(hop, &packet, index);
             }
--- a/crates/fakes/src/token_steering/simulation/entries.rs
+++ b/crates/fakes/src/token_steering/simulation/entries.rs
@@ -34,16 +34,30 @@
             return;
         }
         match entry.engine.on_packet(now, &packet, &[1; 36]) {
-            Action::Forward(hop) => self.send_to_upstream(index, hop, packet),
+            Action::Forward(hop) => {
+                let flow = packet.flow;
+                self.send_to_upstream(index, hop, packet);
+                self.replay_lookups(index, &flow);
+            }
             Action::Reset(reset) => {
                 self.schedule(CLIENT_DELAY, Event::ResetAtClient(reset.flow, None));
             }
             Action::Hold => {
                 entry.hold_queue.push(now, packet);
             }
-            Action::LookUp(flow) => self.look_up(index, &flow, packet),
+            Action::LookUp(flow) => {
+                if entry.lookups.push(now, flow, packet) {
+                    self.look_up(index, &flow);
+                }
+            }
+            Action::Await(flow) => {
+                entry.lookups.push(now, flow, packet);
+            }
             Action::Drop(_) => {}
         }
+        for flow in self.entries[index].engine.take_new_inquiries() {
+            self.look_up(index, &flow);
+        }
         self.share_pins(index);
         self.schedule_timers(index);
     }
@@ -86,23 +100,48 @@
         }
     }
 
-    /// Asks the other entries for a flow's pin. The packet arrives again after the answer.
-    fn look_up(&mut self, index: usize, flow: &FlowKey, packet: Packet) {
+    /// Asks the other entries for a flow's pin. Those that can't be reached don't answer.
+    fn look_up(&mut self, index: usize, flow: &FlowKey) {
         let now = self.now;
         let others = self.reachable_entries(index);
         let pin = others.iter().find_map(|other| self.entries[*other].engine.find_pin(now, flow));
-        let Some(pin) = pin else {
-            return;
-        };
         let generation = self.entries[index].generation;
-        self.schedule(INTERNAL_DELAY * 2, Event::PinAtEntry(index, generation, pin));
-        self.schedule(INTERNAL_DELAY * 2, Event::PacketAtEntry(index, generation, packet));
+        if let Some(pin) = pin {
+            self.schedule(INTERNAL_DELAY * 2, Event::PinAtEntry(index, generation, pin));
+        }
+        if others.len() + 1 == self.entries.len() {
+            self.schedule(INTERNAL_DELAY * 2, Event::AnsweredAtEntry(index, generation, *flow));
+        }
     }
 
     pub(super) fn on_pin_at_entry(&mut self, index: usize, generation: u32, pin: Pin) {
         let entry = &mut self.entries[index];
         if entry.alive && entry.generation == generation {
             entry.engine.on_pins(self.now, &[pin]);
+            self.replay_lookups(index, &pin.flow);
+        }
+    }
+
+    /// All other entries have answered a lookup.
+    pub(super) fn on_answered_at_entry(&mut self, index: usize, generation: u32, flow: FlowKey) {
+        let entry = &mut self.entries[index];
+        if entry.alive && entry.generation == generation {
+            entry.engine.on_answered(&[flow]);
+            self.replay_settled(index);
+        }
+    }
+
+    fn replay_settled(&mut self, index: usize) {
+        while let Some(flow) = self.entries[index].engine.next_settled(self.now) {
+            self.replay_lookups(index, &flow);
+        }
+    }
+
+    /// Handles the packets of a flow that waited for other entries.
+    fn replay_lookups(&mut self, index: usize, flow: &FlowKey) {
+        let generation = self.entries[index].generation;
+        for packet in self.entries[index].lookups.take(self.now, flow) {
+            self.on_packet_at_entry(index, generation, packet);
         }
     }
 
@@ -165,6 +204,7 @@
         for hedge in hedges {
             self.send_to_upstream(index, hedge.hop, opening_packet(hedge.flow, 0));
         }
+        self.replay_settled(index);
         self.schedule_timers(index);
     }
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -15,14 +15,14 @@
 use peer_proto::v1;
 use stdx::hash;
 use stdx::time::{Clock, Timestamp};
-use steer::{Table, UpstreamId};
+use steer::{FlowKey, Table, UpstreamId};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 
 use crate::event_log::EventLogger;
 use crate::facts::Giving;
 use crate::load_news;
-use crate::pins;
+use crate::pins::{self, PendingLookups};
 use crate::route_history::{self, RouteLookup};
 use crate::silences;
 use crate::traffic::{Command, PeerMessage, ReachabilityReport, Report};
@@ -174,6 +174,7 @@
     broken: bool,
     reach: Reachability,
     route_lookup: RouteLookup,
+    pin_lookups: PendingLookups,
     table: Arc<Table>,
     socket: Arc<UdpSocket>,
     pub(crate) giving: Giving,
@@ -206,6 +207,7 @@
             broken: false,
             reach: Reachability::default(),
             route_lookup: RouteLookup::default(),
+            pin_lookups: PendingLookups::default(),
             table: Arc::new(Table::default()),
             socket,
             giving: Giving::default(),
@@ -477,6 +479,7 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: SendToPeers, _: &mut Context<Self, ()>) {
+        let mut unheld = Vec::new();
         let members = || self.directory.members();
         let messages = match &msg.0 {
             PeerMessage::Outcomes(tallies) => {
@@ -490,13 +493,20 @@
                 recipients.into_iter().map(|addr| (addr, bytes.clone())).collect()
             }
             PeerMessage::Pins(pins) => pins::share(pins, &self.name, members),
-            PeerMessage::LookUp(flows) => pins::look_up(flows, &self.name, members),
-            PeerMessage::Found(to, pins) => pins::encode_for(*to, pins),
+            PeerMessage::LookUp(flows) => {
+                let holders = |flow: &FlowKey| pins::holders(flow, &self.name, members());
+                unheld = self.pin_lookups.begin(self.clock.now(), flows, holders);
+                pins::look_up(flows, &self.name, members)
+            }
+            PeerMessage::Found { to, pins, unknown } => pins::answer(*to, pins, unknown),
             PeerMessage::Load(news) => news.iter().cloned().map(load_news::encode).collect(),
         };
         for (to, bytes) in messages {
             self.send_to_peer(&bytes, to);
         }
+        if !unheld.is_empty() {
+            self.send_command(Command::Answered(unheld));
+        }
     }
 }
 
@@ -518,6 +528,10 @@
     async fn handle(&mut self, msg: ReceivedPins, _: &mut Context<Self, ()>) {
         if self.is_from_member(msg.from) {
             self.send_command(Command::Pins(pins::decode(&msg.pins)));
+            let complete = self.pin_lookups.on_answer(msg.from, &pins::answered(&msg.pins));
+            if !complete.is_empty() {
+                self.send_command(Command::Answered(complete));
+            }
         }
     }
 }
--- a/crates/node/src/event_log.rs
+++ b/crates/node/src/event_log.rs
@@ -272,6 +272,9 @@
         counter!("ibis_flows_adopted_total").absolute(counts.engine.adopted);
         counter!("ibis_flows_pinned_total").absolute(counts.engine.pinned);
         counter!("ibis_flow_lookups_total").absolute(counts.engine.lookups);
+        counter!("ibis_flow_inquiries_total").absolute(counts.engine.inquiries);
+        counter!("ibis_flow_inquiries_pinned_total").absolute(counts.engine.inquiries_pinned);
+        counter!("ibis_flow_inquiries_timed_out_total").absolute(counts.engine.inquiries_timed_out);
         counter!("ibis_openings_total").absolute(counts.engine.openings);
         counter!("ibis_hedges_total").absolute(counts.engine.hedges);
         counter!("ibis_resets_total").absolute(counts.engine.resets);
@@ -285,6 +288,7 @@
         counter!("ibis_drops_total", "reason" => "late_copy").absolute(counts.late_copies);
         counter!("ibis_drops_total", "reason" => "held_too_many").absolute(counts.held_dropped);
         counter!("ibis_drops_total", "reason" => "old_opening").absolute(counts.old_openings);
+        counter!("ibis_drops_total", "reason" => "unasked").absolute(counts.unasked);
         counter!("ibis_drops_total", "reason" => "not_sent").absolute(counts.send_failed);
         counter!("ibis_log_events_lost_total").absolute(counts.reports_lost);
         gauge!("ibis_openings_remembered").set(counts.tracked_openings as f64);
@@ -301,6 +305,11 @@
             adopted = counts.engine.adopted - self.last_counts.engine.adopted,
             pinned = counts.engine.pinned - self.last_counts.engine.pinned,
             lookups = counts.engine.lookups - self.last_counts.engine.lookups,
+            inquiries = counts.engine.inquiries - self.last_counts.engine.inquiries,
+            inquiries_pinned =
+                counts.engine.inquiries_pinned - self.last_counts.engine.inquiries_pinned,
+            inquiries_timed_out =
+                counts.engine.inquiries_timed_out - self.last_counts.engine.inquiries_timed_out,
             refusals = counts.engine.refusals - self.last_counts.engine.refusals,
             unknown_token = counts.unknown_token - self.last_counts.unknown_token,
             held = counts.held - self.last_counts.held,
--- a/crates/node/src/pins.rs
+++ b/crates/node/src/pins.rs
@@ -1,12 +1,14 @@
 //! Sharing of pinned flows with other entries: which entries hold a flow's pin, and its messages.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
 
 use directory::Member;
 use indexmap::IndexMap;
 use peer_proto::v1;
 use peer_proto::v1::reach::Kind;
 use stdx::hash;
+use stdx::time::Timestamp;
 use steer::{FlowKey, Pin, UpstreamId};
 
 /// Number of entries that hold a flow's pin. Bounds the messages of a flow in a large fleet, and
@@ -19,6 +21,55 @@
 /// IP protocol number of TCP.
 const TCP: u32 = 6;
 
+/// Time after which an answer to a lookup comes too late to be of use.
+const LOOKUP_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Lookups whose answers are awaited.
+#[derive(Debug, Clone, Default)]
+pub struct PendingLookups {
+    /// When each flow was looked up, and the entries that have not answered yet.
+    flows: IndexMap<FlowKey, (Timestamp, Vec<SocketAddrV4>)>,
+}
+
+impl PendingLookups {
+    /// Adds flows that are being looked up at their holders. Returns those without any.
+    pub fn begin(
+        &mut self,
+        now: Timestamp,
+        flows: &[FlowKey],
+        holders: impl Fn(&FlowKey) -> Vec<SocketAddrV4>,
+    ) -> Vec<FlowKey> {
+        self.flows.retain(|_, (since, _)| now.since(*since) < LOOKUP_LIFETIME);
+        let mut unheld = Vec::new();
+        for flow in flows {
+            let holders = holders(flow);
+            if holders.is_empty() {
+                unheld.push(*flow);
+            } else {
+                self.flows.insert(*flow, (now, holders));
+            }
+        }
+        unheld
+    }
+
+    /// Removes an entry that has answered from the holders of flows. Returns the flows that all
+    /// holders have answered.
+    pub fn on_answer(&mut self, from: SocketAddrV4, flows: &[FlowKey]) -> Vec<FlowKey> {
+        let mut complete = Vec::new();
+        for flow in flows {
+            let Some((_, holders)) = self.flows.get_mut(flow) else {
+                continue;
+            };
+            holders.retain(|holder| *holder != from);
+            if holders.is_empty() {
+                self.flows.swap_remove(flow);
+                complete.push(*flow);
+            }
+        }
+        complete
+    }
+}
+
 /// The other entries that hold a flow's pin: those with the highest hashes of the flow and their
 /// name. All entries agree on them as far as they know the same members.
 pub fn holders<'a>(
@@ -47,7 +98,7 @@
     M: Iterator<Item = (&'a str, &'a Member)>,
 {
     let holders = |pin: &Pin| holders(&pin.flow, own, members());
-    batches(pins, holders).map(|(to, pins)| (to, encode_pins(&pins))).collect()
+    batches(pins, holders).map(|(to, pins)| (to, encode_pins(&pins, &[]))).collect()
 }
 
 /// Messages that ask the holders of flows for their pins.
@@ -67,9 +118,17 @@
     batches(flows, holders).map(|(to, flows)| (to, encode(&flows))).collect()
 }
 
-/// Messages with pins for one entry.
-pub fn encode_for(to: SocketAddrV4, pins: &[Pin]) -> Vec<(SocketAddrV4, Vec<u8>)> {
-    batches(pins, |_| vec![to]).map(|(to, pins)| (to, encode_pins(&pins))).collect()
+/// Messages that answer another entry's lookup: the pins, and the flows that are not known here.
+pub fn answer(to: SocketAddrV4, pins: &[Pin], unknown: &[FlowKey]) -> Vec<(SocketAddrV4, Vec<u8>)> {
+    let known = pins.chunks(MAX_PER_MESSAGE).map(|pins| encode_pins(pins, &[]));
+    let unknown = unknown.chunks(MAX_PER_MESSAGE).map(|flows| encode_pins(&[], flows));
+    known.chain(unknown).map(|bytes| (to, bytes)).collect()
+}
+
+/// The flows about which a message says anything.
+pub fn answered(msg: &v1::Pins) -> Vec<FlowKey> {
+    let known = msg.pins.iter().filter_map(|pin| pin.flow.as_ref());
+    known.chain(&msg.unknown).filter_map(decode_flow).collect()
 }
 
 /// The valid pins of a message.
@@ -107,14 +166,16 @@
     })
 }
 
-fn encode_pins(pins: &[Pin]) -> Vec<u8> {
+fn encode_pins(pins: &[Pin], unknown: &[FlowKey]) -> Vec<u8> {
     let encode = |pin: &Pin| v1::Pin {
         flow: Some(encode_flow(&pin.flow)),
         initial_seq: pin.initial_seq,
         first_ack: pin.first_ack,
         upstream: pin.upstream.0,
     };
-    peer_proto::encode_reach(Kind::Pins(v1::Pins { pins: pins.iter().map(encode).collect() }))
+    let pins = pins.iter().map(encode).collect();
+    let unknown = unknown.iter().map(encode_flow).collect();
+    peer_proto::encode_reach(Kind::Pins(v1::Pins { pins, unknown }))
 }
 
 fn encode_flow(flow: &FlowKey) -> v1::FlowKey {
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -79,6 +79,8 @@
     SilenceNews(u64, Vec<health::News<UpstreamId>>),
     /// Applies pins of another entry.
     Pins(Vec<Pin>),
+    /// All other entries that were asked about these flows have answered.
+    Answered(Vec<FlowKey>),
     /// Reports what is known of the upstreams of flows to the entry at the address.
     FindPins(SocketAddrV4, Vec<FlowKey>),
     /// Sets the entries that exchange news of load, and the number of this one.
@@ -102,8 +104,15 @@
     Pins(Vec<Pin>),
     /// Asks for the pins of flows.
     LookUp(Vec<FlowKey>),
-    /// Pins that the entry at the address has asked for.
-    Found(SocketAddrV4, Vec<Pin>),
+    /// Answers an entry's question for the pins of flows.
+    Found {
+        /// The address of the entry.
+        to: SocketAddrV4,
+        /// Pins of flows that are known here.
+        pins: Vec<Pin>,
+        /// The other flows.
+        unknown: Vec<FlowKey>,
+    },
     /// News of load.
     Load(Vec<load::News>),
 }
@@ -146,6 +155,9 @@
     pub unknown_token: u64,
     /// Packets dropped as retransmitted openings of open flows.
     pub late_copies: u64,
+    /// First packets of flows that began at another entry, dropped because the other entries were asked
+    /// about too many flows.
+    pub unasked: u64,
     /// Packets held until a current table is available.
     pub held: u64,
     /// Held packets dropped to make room for newer ones.
@@ -309,6 +321,7 @@
             let backlogged = self.receive(&mut buf)?;
             self.received.store(self.counts.received, Ordering::Relaxed);
             self.run_timers(backlogged);
+            self.replay_settled();
             self.reset_stranded();
             self.share_pins();
             self.share_load();
@@ -418,6 +431,10 @@
                     self.unknown_flows.push(flow);
                 }
             }
+            Action::Await(flow) => {
+                let packet = buf[ENCAP_BYTES..ENCAP_BYTES + len].to_vec();
+                self.lookups.push(now, flow, packet);
+            }
             Action::Drop(reason) => self.count_drop(reason),
         }
     }
@@ -441,6 +458,15 @@
         }
     }
 
+    /// Handles the packets that waited for other entries' answers.
+    fn replay_settled(&mut self) {
+        let now = self.clock.now();
+        let mut buf = [0_u8; ENCAP_BYTES + MAX_DATAGRAM_BYTES];
+        while let Some(flow) = self.engine.next_settled(now) {
+            self.replay_lookups(now, &flow, &mut buf);
+        }
+    }
+
     /// Passes new pins and lookups to the control thread, so that other entries have a flow's pin
     /// before its next request.
     fn share_pins(&mut self) {
@@ -448,6 +474,7 @@
         if !pins.is_empty() {
             self.send_to_peers(PeerMessage::Pins(pins));
         }
+        self.unknown_flows.extend(self.engine.take_new_inquiries());
         if !self.unknown_flows.is_empty() {
             let flows = std::mem::take(&mut self.unknown_flows);
             self.send_to_peers(PeerMessage::LookUp(flows));
@@ -480,6 +507,7 @@
             Drop::NoRoute => self.counts.no_route += 1,
             Drop::UnknownToken => self.counts.unknown_token += 1,
             Drop::LateRetransmit => self.counts.late_copies += 1,
+            Drop::TooManyInquiries => self.counts.unasked += 1,
         }
     }
 
@@ -507,12 +535,16 @@
             Command::PeerUpdates(from, updates) => self.engine.on_peer_updates(now, from, &updates),
             Command::SilenceNews(from, news) => self.engine.on_silence_news(now, from, &news),
             Command::Pins(pins) => self.on_pins(now, &pins),
+            Command::Answered(flows) => self.engine.on_answered(&flows),
             Command::FindPins(from, flows) => {
-                let pins: Vec<Pin> =
-                    flows.iter().filter_map(|flow| self.engine.find_pin(now, flow)).collect();
-                if !pins.is_empty() {
-                    self.send_to_peers(PeerMessage::Found(from, pins));
+                let (mut pins, mut unknown) = (Vec::new(), Vec::new());
+                for flow in flows {
+                    match self.engine.find_pin(now, &flow) {
+                        Some(pin) => pins.push(pin),
+                        None => unknown.push(flow),
+                    }
                 }
+                self.send_to_peers(PeerMessage::Found { to: from, pins, unknown });
             }
             Command::LoadEntries(own, entries) => {
                 self.engine.set_load_entries(now, own, &entries);
--- a/crates/node/tests/pins.rs
+++ b/crates/node/tests/pins.rs
@@ -6,9 +6,10 @@
 
 use directory::Member;
 use indexmap::IndexMap;
-use node::pins;
+use node::pins::{self, PendingLookups};
 use peer_proto::v1;
 use peer_proto::v1::reach::Kind;
+use stdx::time::Timestamp;
 use steer::{FlowKey, Pin, UpstreamId};
 use support::fleet;
 
@@ -93,8 +94,48 @@
         v1::FlowKey { caller_ip: 1, service_ip: 2, caller_port: 3, service_port: 4, protocol: 6 };
     let invalid = v1::FlowKey { caller_port: 65_536, ..valid };
     let pin = |flow| v1::Pin { flow, initial_seq: 1, first_ack: 2, upstream: 3 };
-    let msg = v1::Pins { pins: vec![pin(None), pin(Some(invalid)), pin(Some(valid))] };
+    let msg = v1::Pins {
+        pins: vec![pin(None), pin(Some(invalid)), pin(Some(valid))],
+        unknown: Vec::new(),
+    };
     assert_eq!(pins::decode(&msg).len(), 1);
     let lookup = v1::PinLookup { flows: vec![invalid, valid] };
     assert_eq!(pins::decode_lookup(&lookup).len(), 1);
 }
+
+/// Guards against first requests that wait in vain: an entry tells which flows it does not know.
+#[test]
+fn answer_lookup_in_datagrams() {
+    let to = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7_720);
+    let known: Vec<Pin> = (0..50).map(pin).collect();
+    let unknown: Vec<FlowKey> = (50..100).map(flow).collect();
+    let (mut pins_received, mut answered) = (Vec::new(), Vec::new());
+    for (recipient, bytes) in pins::answer(to, &known, &unknown) {
+        assert!(recipient == to && bytes.len() <= 1_400, "{} bytes", bytes.len());
+        let Ok(Some(Kind::Pins(msg))) = peer_proto::decode_reach(&bytes) else {
+            panic!("not an answer");
+        };
+        pins_received.extend(pins::decode(&msg));
+        answered.extend(pins::answered(&msg));
+    }
+    assert_eq!(pins_received, known);
+    assert_eq!(answered, (0..100).map(flow).collect::<Vec<_>>());
+}
+
+#[test]
+fn pending_lookups_complete_with_the_last_holder() {
+    let at = |millis: u64| Timestamp::from_millis(1_000_000 + millis);
+    let holder = |port| SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+    let holders = |flow: &FlowKey| match flow.client.port() {
+        1 => Vec::new(),
+        _ => vec![holder(1), holder(2)],
+    };
+    let mut pending = PendingLookups::default();
+    assert_eq!(pending.begin(at(0), &[flow(1), flow(2), flow(3)], holders), [flow(1)]);
+    assert_eq!(pending.on_answer(holder(1), &[flow(2), flow(3)]), []);
+    assert_eq!(pending.on_answer(holder(1), &[flow(2)]), [], "each counts once");
+    assert_eq!(pending.on_answer(holder(9), &[flow(2)]), [], "a stranger counts for nothing");
+    assert_eq!(pending.on_answer(holder(2), &[flow(2), flow(4)]), [flow(2)]);
+    assert_eq!(pending.begin(at(1_000), &[], holders), []);
+    assert_eq!(pending.on_answer(holder(2), &[flow(3)]), [], "it is too late");
+}
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -69,6 +69,9 @@
         /// Queue it and ask the other entries for the flow's upstream. If none knows it, the packet
         /// is dropped.
         LookUp(FlowKey),
+        /// Queue it until [`Engine::next_settled`](crate::Engine::next_settled) returns its flow, which
+        /// another entry may know.
+        Await(FlowKey),
         /// Drop it without an answer.
         Drop(Drop),
     }
@@ -111,6 +114,8 @@
         UnknownToken,
         /// A retransmit of the opening of a flow that is open already or closed.
         LateRetransmit,
+        /// The other entries are asked about too many flows to ask about its own.
+        TooManyInquiries,
     }
 
     /// Why an opening was refused. It was not sent to any upstream.
@@ -234,6 +239,13 @@
     pub pinned: u64,
     /// Packets for whose flow the other entries were asked.
     pub lookups: u64,
+    /// Flows that began at another entry and whose upstream was asked for before the token of their
+    /// first packet was followed.
+    pub inquiries: u64,
+    /// Those of them that another entry had pinned.
+    pub inquiries_pinned: u64,
+    /// Those of them that not all of the other entries answered in time.
+    pub inquiries_timed_out: u64,
     /// Openings that were refused.
     pub refusals: u64,
     /// Open flows that were reset.
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -14,6 +14,7 @@
 
 use crate::baseline::AnswerBaseline;
 use crate::decision::{Action, Drop, Event, Hedge, Hop, Refusal, Reset, Settings, Stats};
+use crate::inquiries::Inquiries;
 use crate::latency::LatencyEstimator;
 use crate::openings::{Attempt, MAX_OPENING_AGE, Opening, Openings, Stage};
 use crate::packet::{FlowKey, Packet, RawPacket};
@@ -80,6 +81,10 @@
     /// Pins that the other entries don't have yet.
     new_pins: Vec<Pin>,
     lookup_budget: TokenBucket,
+    /// Flows that began at another entry, while the others are asked about them.
+    inquiries: Inquiries,
+    /// Flows of new inquiries.
+    new_inquiries: Vec<FlowKey>,
     strays: Strays,
     stranded: Stranded,
     last_timer_run: Timestamp,
@@ -110,6 +115,8 @@
             pins: Pins::default(),
             new_pins: Vec::new(),
             lookup_budget: TokenBucket::new(now, LOOKUP_BURST, MAX_LOOKUPS_PER_S),
+            inquiries: Inquiries::default(),
+            new_inquiries: Vec::new(),
             strays: Strays::default(),
             stranded: Stranded::new(now),
             last_timer_run: now,
@@ -169,9 +176,10 @@
         None
     }
 
-    /// When [`Engine::on_timer`] has to be called next.
+    /// When [`Engine::on_timer`] and [`Engine::next_settled`] have to be called next.
     pub fn next_timer(&self) -> Option<Timestamp> {
-        self.timers.peek().map(|Reverse((deadline, _))| *deadline)
+        let deadline = self.timers.peek().map(|Reverse((deadline, _))| *deadline);
+        deadline.into_iter().chain(self.inquiries.next_timeout()).min()
     }
 
     /// Replaces the table.
@@ -239,7 +247,7 @@
 
     /// Counters since the engine was created.
     pub fn stats(&self) -> Stats {
-        self.stats
+        Stats { inquiries_timed_out: self.inquiries.timed_out(), ..self.stats }
     }
 
     /// Estimated time from an opening to the client's acknowledgement.
@@ -324,6 +332,11 @@
         let mut token_upstream = self.upstream_named(packet, packet.token);
         if token_upstream.is_none() {
             token_upstream = self.upstream_of_opening(packet);
+            if token_upstream.is_some()
+                && let Some(action) = self.inquire(now, packet)
+            {
+                return action;
+            }
             self.adopt(now, packet, token_upstream);
         }
         if self.awaits_first_ack(now, packet) {
--- a/crates/steer/src/engine/pinning.rs
+++ b/crates/steer/src/engine/pinning.rs
@@ -5,6 +5,7 @@
 
 use super::{Engine, OPEN_EXPIRY};
 use crate::decision::{Action, Drop, Event};
+use crate::inquiries::Check;
 use crate::openings::{Opening, Stage};
 use crate::packet::{FlowKey, Packet};
 use crate::pins::Pin;
@@ -22,10 +23,32 @@
         self.new_pins = self.pins.iter().copied().collect();
     }
 
+    /// Flows since the last call that the other entries have to be asked about.
+    pub fn take_new_inquiries(&mut self) -> Vec<FlowKey> {
+        std::mem::take(&mut self.new_inquiries)
+    }
+
+    /// All other entries that were asked about these flows have answered.
+    pub fn on_answered(&mut self, flows: &[FlowKey]) {
+        for flow in flows {
+            self.inquiries.settle(flow);
+        }
+    }
+
+    /// The next flow whose packets no longer wait for other entries, if any; to be called until it
+    /// returns `None`.
+    pub fn next_settled(&mut self, now: Timestamp) -> Option<FlowKey> {
+        self.inquiries.next_settled(now)
+    }
+
     /// Adds pins of another entry. A flow that this entry still tries to open is open.
     pub fn on_pins(&mut self, now: Timestamp, pins: &[Pin]) {
         for pin in pins {
             self.pins.insert(now, *pin);
+            if self.inquiries.is_awaited(&pin.flow, pin.initial_seq) {
+                self.stats.inquiries_pinned += 1;
+                self.inquiries.settle(&pin.flow);
+            }
             let is_opening = |opening: &Opening| {
                 opening.stage == Stage::Opening && opening.seq == pin.initial_seq
             };
@@ -49,6 +72,37 @@
         self.pins.get(now, flow)
     }
 
+    /// Asks the other entries about the flow of a client's first packet if its opening did not come
+    /// here. Returns what to do with the packet until they have answered.
+    ///
+    /// The token names the upstream that answered last. If the opening went to several, that may be
+    /// one that does not have the flow, which only other entries know: a client may pause before its
+    /// first request, and the entry that opened the flow may have stopped since.
+    pub(super) fn inquire(&mut self, now: Timestamp, packet: &Packet) -> Option<Action> {
+        let flow = &packet.flow;
+        let initial_seq = packet.seq.wrapping_sub(1);
+        let is_tracked = self.openings.get(flow).is_some_and(|opening| opening.seq == initial_seq);
+        let is_alone = self.table.entries.len() <= 1;
+        if is_tracked
+            || is_alone
+            || packet.rst
+            || !packet.has_ack
+            || self.pinned_upstream(now, packet).is_some()
+        {
+            return None;
+        }
+        match self.inquiries.check(now, flow, initial_seq) {
+            Check::Begun => {
+                self.stats.inquiries += 1;
+                self.new_inquiries.push(*flow);
+                Some(Action::Await(*flow))
+            }
+            Check::Awaited => Some(Action::Await(*flow)),
+            Check::Settled => None,
+            Check::Full => Some(Action::Drop(Drop::TooManyInquiries)),
+        }
+    }
+
     /// Tracks a flow that another entry opened, if the packet is one of its first ones: its token is
     /// that of an opening and names `token_upstream`. The other entry may not know that the flow is
     /// open and hedge it.
@@ -76,6 +130,7 @@
         if let Some(evicted) = self.openings.insert(packet.flow, opening) {
             self.release(&evicted);
         }
+        self.inquiries.remove(&packet.flow);
         self.stats.adopted += 1;
         self.events.push(Event::Adopted { flow: packet.flow, upstream });
         self.open(&packet.flow, upstream, packet.ack);
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod decision;
 pub mod engine;
 pub mod hold_queue;
+pub mod inquiries;
 pub mod latency;
 pub mod lookup_queue;
 pub mod openings;
--- a/crates/steer/tests/pins.rs
+++ b/crates/steer/tests/pins.rs
@@ -5,7 +5,7 @@
 
 use steer::decision::Drop;
 use steer::pins::Pins;
-use steer::{Action, Engine, Packet, Pin, UpstreamId};
+use steer::{Action, Engine, Packet, Pin, Table, UpstreamId};
 use support::{
     OPENING_BYTES, ack_packet, at, engine, flow, forwarded_to, opening_packet, opening_token, table,
 };
@@ -88,6 +88,103 @@
     assert_eq!(forwarded_to(started.on_packet(at(9_002), &request, &[])), forwarded_to(second));
 }
 
+/// The table of an entry that is not the only one.
+fn table_with_peers() -> Table {
+    Table { entries: vec![1, 2, 3], ..table() }
+}
+
+/// A client's first request after a pause, with the token of `opening`.
+fn first_request(opening: Action) -> Packet {
+    Packet { seq: 2, ack: 5_000, ..late_request(opening) }
+}
+
+/// Guards against first requests that an upstream resets which lost the flow to a hedge and answered
+/// late: the client had opened the flow ahead of them, and the opener was restarted meanwhile.
+#[test]
+fn on_packet_first_request_after_restart_follows_the_pin() {
+    let mut stopped = engine(table());
+    let [lost, second] = open_at_second(&mut stopped);
+    let pins = stopped.take_new_pins();
+    let mut started = engine(table_with_peers());
+    let request = first_request(lost);
+    assert_eq!(started.on_packet(at(9_000), &request, &[]), Action::Await(flow(1)));
+    assert_eq!(started.take_new_inquiries(), [flow(1)]);
+    assert_eq!(started.next_settled(at(9_001)), None);
+    started.on_pins(at(9_002), &pins);
+    assert_eq!(started.next_settled(at(9_002)), Some(flow(1)));
+    assert_eq!(forwarded_to(started.on_packet(at(9_002), &request, &[])), forwarded_to(second));
+    assert_eq!((started.stats().inquiries_pinned, started.next_settled(at(9_003))), (1, None));
+}
+
+/// A flow that no other entry knows had one attempt, whose token is right.
+#[test]
+fn on_packet_first_request_of_a_flow_unknown_to_all() {
+    let opening = engine(table()).on_packet(at(0), &opening_packet(1), &OPENING_BYTES);
+    let mut started = engine(table_with_peers());
+    let request = first_request(opening);
+    assert_eq!(started.on_packet(at(9_000), &request, &[]), Action::Await(flow(1)));
+    assert_eq!(started.on_packet(at(9_001), &request, &[]), Action::Await(flow(1)));
+    assert_eq!(started.take_new_inquiries(), [flow(1)], "they are asked once");
+    started.on_answered(&[flow(1)]);
+    assert_eq!(started.next_settled(at(9_003)), Some(flow(1)));
+    assert_eq!(forwarded_to(started.on_packet(at(9_003), &request, &[])), forwarded_to(opening));
+    let next = Packet { seq: 902, ..request };
+    assert_eq!(forwarded_to(started.on_packet(at(9_100), &next, &[])), forwarded_to(opening));
+}
+
+/// Entries that don't answer hold a flow up for a bounded time.
+#[test]
+fn on_packet_first_request_without_answers() {
+    let opening = engine(table()).on_packet(at(0), &opening_packet(1), &OPENING_BYTES);
+    let mut started = engine(table_with_peers());
+    let request = first_request(opening);
+    started.on_packet(at(9_000), &request, &[]);
+    assert_eq!(started.next_timer(), Some(at(9_150)));
+    assert_eq!(started.next_settled(at(9_149)), None);
+    assert_eq!(started.next_settled(at(9_150)), Some(flow(1)));
+    assert_eq!(forwarded_to(started.on_packet(at(9_150), &request, &[])), forwarded_to(opening));
+    assert_eq!(
+        (started.stats().inquiries_timed_out, started.next_timer() > Some(at(9_150))),
+        (1, true)
+    );
+}
+
+/// An answer about an earlier flow on the same ports settles nothing.
+#[test]
+fn on_packet_first_request_pin_of_an_earlier_flow() {
+    let mut stopped = engine(table());
+    open_at_second(&mut stopped);
+    let reused = Packet { seq: 70_000, ..opening_packet(1) };
+    let opening = engine(table()).on_packet(at(400), &reused, &OPENING_BYTES);
+    let mut started = engine(table_with_peers());
+    let request = Packet { seq: 70_001, ..first_request(opening) };
+    assert_eq!(started.on_packet(at(9_000), &request, &[]), Action::Await(flow(1)));
+    started.on_pins(at(9_001), &stopped.take_new_pins());
+    assert_eq!(started.next_settled(at(9_001)), None);
+    started.on_answered(&[flow(1)]);
+    assert_eq!(started.next_settled(at(9_002)), Some(flow(1)));
+    assert_eq!(forwarded_to(started.on_packet(at(9_002), &request, &[])), forwarded_to(opening));
+}
+
+/// Packets with the tokens of openings cause a bounded number of questions.
+#[test]
+fn on_packet_inquiries_are_bounded() {
+    let mut started = engine(table_with_peers());
+    let (mut awaited, mut dropped) = (0, 0);
+    for port in 0..1_000 {
+        let opening = engine(table()).on_packet(at(0), &opening_packet(port), &OPENING_BYTES);
+        let upstream = forwarded_to(opening).unwrap();
+        let token = opening_token(opening);
+        let packet = Packet { token, ..ack_packet(port, upstream, 5_000) };
+        match started.on_packet(at(9_000), &packet, &[]) {
+            Action::Await(_) => awaited += 1,
+            Action::Drop(Drop::TooManyInquiries) => dropped += 1,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!((awaited, dropped, started.take_new_inquiries().len()), (128, 872, 128));
+}
+
 /// Guards against resets by the upstream of a hedge that was sent after the flow had moved: the
 /// entry that got the first packets remembers the flow's upstream.
 #[test]
--- a/crates/steer/tests/steering.rs
+++ b/crates/steer/tests/steering.rs
@@ -261,7 +261,9 @@
                     prop_assert!(!packet.syn || packet.has_ack || upstream.accepts_new);
                 }
                 Action::Reset(reset) => prop_assert_eq!(reset.flow, packet.flow),
-                Action::LookUp(flow) => prop_assert_eq!(flow, packet.flow),
+                Action::LookUp(flow) | Action::Await(flow) => {
+                    prop_assert_eq!(flow, packet.flow);
+                }
                 Action::Hold | Action::Drop(_) => {}
             }
             while let Some(hedge) = engine.on_timer(now, false) {
