steer: pins of an earlier flow on the same ports are told from those of the present one

Their client opens flows again on the same ports with the same initial sequence numbers. Entries now ask about first packets, and were answered with records of the earlier flows.

Cause: a pin was matched by ports and initial sequence number alone, and a holder that tracks an earlier flow told its record in place of the pin of the later one. Clients that use a port again with another number met the second part, too.

Change: a pin applies to a first packet only if the acknowledgement number fits; other answers are ignored while the flow is asked about; holders tell their record and their pin if they differ.

--- a/crates/fakes/src/token_steering/simulation/entries.rs
+++ b/crates/fakes/src/token_steering/simulation/entries.rs
@@ -104,9 +104,10 @@
     fn look_up(&mut self, index: usize, flow: &FlowKey) {
         let now = self.now;
         let others = self.reachable_entries(index);
-        let pin = others.iter().find_map(|other| self.entries[*other].engine.find_pin(now, flow));
         let generation = self.entries[index].generation;
-        if let Some(pin) = pin {
+        let find = |other: &usize| self.entries[*other].engine.find_pins(now, flow);
+        let pins: Vec<Pin> = others.iter().flat_map(find).collect();
+        for pin in pins {
             self.schedule(INTERNAL_DELAY * 2, Event::PinAtEntry(index, generation, pin));
         }
         if others.len() + 1 == self.entries.len() {
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -539,9 +539,10 @@
             Command::FindPins(from, flows) => {
                 let (mut pins, mut unknown) = (Vec::new(), Vec::new());
                 for flow in flows {
-                    match self.engine.find_pin(now, &flow) {
-                        Some(pin) => pins.push(pin),
-                        None => unknown.push(flow),
+                    let known = pins.len();
+                    pins.extend(self.engine.find_pins(now, &flow));
+                    if pins.len() == known {
+                        unknown.push(flow);
                     }
                 }
                 self.send_to_peers(PeerMessage::Found { to: from, pins, unknown });
--- a/crates/steer/src/engine/pinning.rs
+++ b/crates/steer/src/engine/pinning.rs
@@ -44,11 +44,16 @@
     /// Adds pins of another entry. A flow that this entry still tries to open is open.
     pub fn on_pins(&mut self, now: Timestamp, pins: &[Pin]) {
         for pin in pins {
-            self.pins.insert(now, *pin);
-            if self.inquiries.is_awaited(&pin.flow, pin.initial_seq) {
-                self.stats.inquiries_pinned += 1;
-                self.inquiries.settle(&pin.flow);
+            match self.inquiries.is_answer(pin) {
+                Some(true) => {
+                    let was_awaited = self.inquiries.settle(&pin.flow);
+                    self.stats.inquiries_pinned += u64::from(was_awaited);
+                }
+                // It is of an earlier flow on the same ports.
+                Some(false) => continue,
+                None => {}
             }
+            self.pins.insert(now, *pin);
             let is_opening = |opening: &Opening| {
                 opening.stage == Stage::Opening && opening.seq == pin.initial_seq
             };
@@ -61,15 +66,26 @@
         }
     }
 
-    /// What this entry knows of a flow's upstream, for an entry that does not know it.
-    pub fn find_pin(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Pin> {
-        if let Some(opening) = self.openings.get(flow)
-            && let Stage::Open { upstream, base } | Stage::Closed { upstream, base } = opening.stage
-        {
-            let (flow, initial_seq, first_ack) = (*flow, opening.seq, base);
-            return Some(Pin { flow, initial_seq, first_ack, upstream });
-        }
-        self.pins.get(now, flow)
+    /// What this entry knows of a flow's upstream, for an entry that does not know it: its own record
+    /// and its pin. They differ if one of them is of an earlier flow on the same ports.
+    pub fn find_pins(
+        &mut self,
+        now: Timestamp,
+        flow: &FlowKey,
+    ) -> impl Iterator<Item = Pin> + use<> {
+        let pin = self.pins.get(now, flow);
+        let tracked = self.tracked_pin(flow);
+        tracked.into_iter().chain(pin.filter(|pin| Some(*pin) != tracked))
+    }
+
+    /// The pin of an open or closed flow that this entry tracks.
+    fn tracked_pin(&self, flow: &FlowKey) -> Option<Pin> {
+        let opening = self.openings.get(flow)?;
+        let (Stage::Open { upstream, base } | Stage::Closed { upstream, base }) = opening.stage
+        else {
+            return None;
+        };
+        Some(Pin { flow: *flow, initial_seq: opening.seq, first_ack: base, upstream })
     }
 
     /// Asks the other entries about the flow of a client's first packet if its opening did not come
@@ -91,7 +107,7 @@
         {
             return None;
         }
-        match self.inquiries.check(now, flow, initial_seq) {
+        match self.inquiries.check(now, flow, initial_seq, packet.ack) {
             Check::Begun => {
                 self.stats.inquiries += 1;
                 self.new_inquiries.push(*flow);
@@ -140,7 +156,7 @@
 
     /// Pins an open flow.
     pub(super) fn pin(&mut self, now: Timestamp, flow: &FlowKey) {
-        if let Some(pin) = self.find_pin(now, flow) {
+        if let Some(pin) = self.tracked_pin(flow) {
             self.stats.pinned += 1;
             self.pins.insert(now, pin);
             self.new_pins.push(pin);
@@ -155,6 +171,10 @@
         packet: &Packet,
     ) -> Option<UpstreamId> {
         let pin = self.pins.get(now, &packet.flow)?;
+        let is_first = packet.seq == pin.initial_seq.wrapping_add(1);
+        if is_first && !pin.begins_with(pin.initial_seq, packet.ack) {
+            return None;
+        }
         self.upstream_named(packet, packet.token.bound_to(pin.initial_seq))?;
         self.may_serve(&packet.flow, pin.upstream).then_some(pin.upstream)
     }
--- a/crates/steer/src/inquiries.rs
+++ b/crates/steer/src/inquiries.rs
@@ -7,6 +7,7 @@
 use stdx::time::Timestamp;
 
 use crate::packet::FlowKey;
+use crate::pins::Pin;
 
 /// Time after which a missing answer counts as one that knows nothing. Queued packets and clients'
 /// retransmission timeouts are longer.
@@ -30,8 +31,10 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Inquiry {
-    /// The client's initial sequence number, which distinguishes flows on the same ports.
+    /// The client's initial sequence number and first acknowledgement number, which distinguish flows
+    /// on the same ports.
     initial_seq: u32,
+    ack: u32,
     begun_at: Timestamp,
     state: State,
 }
@@ -57,8 +60,8 @@
 }
 
 impl Inquiries {
-    /// Looks for the inquiry about a flow, and begins one if there is none.
-    pub fn check(&mut self, now: Timestamp, flow: &FlowKey, initial_seq: u32) -> Check {
+    /// Looks for the inquiry about the flow of a client's first packet, and begins one if there is none.
+    pub fn check(&mut self, now: Timestamp, flow: &FlowKey, initial_seq: u32, ack: u32) -> Check {
         self.settle_overdue(now);
         let current = self.flows.get(flow).filter(|inquiry| inquiry.initial_seq == initial_seq);
         match current.map(|inquiry| inquiry.state) {
@@ -71,14 +74,15 @@
             return Check::Full;
         }
         self.flows.shift_remove(flow);
-        self.flows.insert(*flow, Inquiry { initial_seq, begun_at: now, state: State::Awaited });
+        self.flows
+            .insert(*flow, Inquiry { initial_seq, ack, begun_at: now, state: State::Awaited });
         Check::Begun
     }
 
-    /// Whether the other entries are asked about a flow.
-    pub fn is_awaited(&self, flow: &FlowKey, initial_seq: u32) -> bool {
-        let inquiry = self.flows.get(flow);
-        inquiry.is_some_and(|it| it.initial_seq == initial_seq && it.state == State::Awaited)
+    /// Whether a pin answers the inquiry about its flow; `None` if there is none.
+    pub fn is_answer(&self, pin: &Pin) -> Option<bool> {
+        let inquiry = self.flows.get(&pin.flow)?;
+        Some(pin.begins_with(inquiry.initial_seq, inquiry.ack))
     }
 
     /// Number of inquiries that were settled without all answers.
@@ -87,10 +91,10 @@
     }
 
     /// All other entries that were asked have answered, or one that knows the flow has.
-    pub fn settle(&mut self, flow: &FlowKey) {
-        if let Some(inquiry) = self.flows.get_mut(flow).filter(|it| it.state == State::Awaited) {
-            inquiry.state = State::Settled;
-        }
+    /// Returns whether an answer was awaited.
+    pub fn settle(&mut self, flow: &FlowKey) -> bool {
+        let awaited = self.flows.get_mut(flow).filter(|it| it.state == State::Awaited);
+        awaited.map(|inquiry| inquiry.state = State::Settled).is_some()
     }
 
     /// The inquiry about a flow has no further use.
--- a/crates/steer/src/pins.rs
+++ b/crates/steer/src/pins.rs
@@ -33,6 +33,18 @@
     }
 }
 
+/// Maximum distance of the acknowledgement number in a client's first packet from the first one: an
+/// upstream may have begun to answer before all of the request has arrived.
+const MAX_FIRST_ACK_DISTANCE: u32 = 1 << 16;
+
+impl Pin {
+    /// Whether a client's first packet belongs to the flow, and not to another one on the same ports.
+    pub const fn begins_with(&self, initial_seq: u32, ack: u32) -> bool {
+        let distance = ack.wrapping_sub(self.first_ack);
+        self.initial_seq == initial_seq && distance < MAX_FIRST_ACK_DISTANCE
+    }
+}
+
 /// A bounded table of pins. It consists of two generations: when the younger one is full or old,
 /// it replaces the other one.
 #[derive(Debug, Clone, Default)]
--- a/crates/steer/tests/pins.rs
+++ b/crates/steer/tests/pins.rs
@@ -83,8 +83,9 @@
     let mut started = engine(table());
     let request = late_request(lost);
     assert_eq!(started.on_packet(at(9_000), &request, &[]), Action::LookUp(flow(1)));
-    let pin = opener.find_pin(at(9_001), &flow(1)).expect("the opener knows the flow");
-    started.on_pins(at(9_002), &[pin]);
+    let pins: Vec<Pin> = opener.find_pins(at(9_001), &flow(1)).collect();
+    assert_eq!(pins.len(), 1, "the opener knows the flow");
+    started.on_pins(at(9_002), &pins);
     assert_eq!(forwarded_to(started.on_packet(at(9_002), &request, &[])), forwarded_to(second));
 }
 
@@ -166,6 +167,31 @@
     assert_eq!(forwarded_to(started.on_packet(at(9_002), &request, &[])), forwarded_to(opening));
 }
 
+/// A holder that opened an earlier flow on the same ports knows the later one, too. Its client may begin both
+/// with the same number.
+#[test]
+fn find_pins_of_two_flows_on_the_same_ports() {
+    let mut holder = engine(table());
+    let earlier = holder.on_packet(at(0), &opening_packet(1), &OPENING_BYTES);
+    let first_ack = ack_packet(1, forwarded_to(earlier).unwrap(), 300_000);
+    let first_ack = Packet { token: opening_token(earlier), ..first_ack };
+    holder.on_packet(at(5), &first_ack, &[]);
+    let mut opener = engine(table());
+    opener.on_packet(at(900), &opening_packet(9), &OPENING_BYTES);
+    let [lost, second] = open_at_second(&mut opener);
+    assert_ne!(forwarded_to(second), forwarded_to(earlier));
+    holder.on_pins(at(1_000), &opener.take_new_pins());
+    let request = first_request(lost);
+    let pins: Vec<Pin> = holder.find_pins(at(9_001), &flow(1)).collect();
+    assert_eq!(pins.len(), 2);
+    for order in [[0, 1], [1, 0]] {
+        let mut started = engine(table_with_peers());
+        started.on_packet(at(9_000), &request, &[]);
+        started.on_pins(at(9_002), &order.map(|index| pins[index]));
+        assert_eq!(forwarded_to(started.on_packet(at(9_002), &request, &[])), forwarded_to(second));
+    }
+}
+
 /// Packets with the tokens of openings cause a bounded number of questions.
 #[test]
 fn on_packet_inquiries_are_bounded() {
