directory: the registration of an entry is a wanted state

Cause: the first registration got no answer, a second one under another lease succeeded, and the store executed the first one after that. It moved the record to the first lease, which nobody renewed. The record was removed 10 s later while the entry renewed the second lease; the others forgot the entry and dropped the pins that it told them as it left. Nothing compared the store with what was wanted.

Change: directory::Registration decides the calls. The record that the entry follows is compared with the one that it wrote, and written again if it is missing or another one. All attempts use one lease, a write names the revision that it replaces, and an entry that leaves ends the lease of an unanswered write as well. ibis_registrations_restored_total{reason} and a log line tell the cases apart. Records of a later process with the same name stay.

Why it works: a late first attempt is under the renewed lease, or rejected as the key has changed; and whatever else removes or replaces the record is seen in the followed records and put right.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -19,6 +19,7 @@
 pub use record::{
     Config, Member, Record, RecordKey, RecordValue, Revision, RouteSpec, ServiceSpec, UpstreamSpec,
 };
+pub use registration::Registration;
 pub use source::{LocalEntry, ReaderCall, Role, Source, SourceSelector};
 pub use state::{Directory, Part, Settings, TableChange};
 pub use store_sync::{Action, CallResult, Pace, StoreSync};
