steer: a request that may wait in a queue is no evidence that its upstream has ended

Cause: a copy of a request was taken for proof that the upstream had not got it. An end acknowledges every second packet only, so a request of one packet may be acknowledged with its answer: a wait of 200 ms in a queue causes a copy as well. Two entries with a copy each and no sign of life for 200 ms reset flows.

Change: a second copy is evidence anywhere, as the first one would have been acknowledged. A first copy is evidence only if the service's upstreams are known to acknowledge requests at once, as slow answers without a copy show; entries tell each other what they observe. Other first copies make the upstream a suspect for new flows only. Counted in the line 'counts' and in ibis_request_copies_total, ibis_requests_unacknowledged_total and ibis_acknowledgements_total{when}.

Why it works: a client sends no second copy of what a living upstream got, and where first copies count, a queue has been seen to cause none.

--- a/crates/fakes/src/token_steering/simulation/entries.rs
+++ b/crates/fakes/src/token_steering/simulation/entries.rs
@@ -252,6 +252,7 @@
             }
             let updates = self.entries[index].engine.take_updates(now);
             let news = self.entries[index].engine.take_silence_news(now);
+            let acknowledgements = self.entries[index].engine.take_acknowledgement_news(now);
             let zone = self.entries[index].zone;
             for other in (0..self.entries.len()).filter(|other| *other != index) {
                 let is_reachable = !self.is_partitioned(zone, self.entries[other].zone);
@@ -259,6 +260,7 @@
                     let engine = &mut self.entries[other].engine;
                     engine.on_peer_updates(now, index as u64, &updates);
                     engine.on_silence_news(now, index as u64 + 1, &news);
+                    engine.on_acknowledgement_news(&acknowledgements);
                 }
             }
         }
--- a/crates/health/src/silence.rs
+++ b/crates/health/src/silence.rs
@@ -3,8 +3,8 @@
 //!
 //! Each entry sees a few flows of an upstream. It tells the others of openings and copies of
 //! requests that were not answered, and of signs of life of upstreams that others suspect, each with
-//! its age. A queue doesn't explain them: an upstream acknowledges openings and packets of requests
-//! before it works on them, and only clients of one that doesn't send copies.
+//! its age. A queue must not explain them: an upstream answers openings at once and acknowledges every
+//! second packet, but a request of one packet may wait for its acknowledgement until it is answered.
 
 use std::hash::Hash;
 use std::time::Duration;
@@ -53,8 +53,12 @@
     pub enum Sent {
         /// The opening of a flow.
         Opening,
-        /// A request of which the client then sent a copy.
+        /// A request of which the client sent a copy, although an upstream that lives would have
+        /// acknowledged it before.
         Request,
+        /// A request of which the client sent a copy, and that may wait in the upstream's queue. It makes
+        /// the upstream a suspect, but doesn't show that it is silent.
+        QueuedRequest,
     }
 
     /// Something that was sent and not answered.
@@ -274,14 +278,18 @@
         self.unanswered = kept;
     }
 
-    /// Adds an item; the newest makes room, so that the silence keeps its length.
+    /// Adds an item. The newest one that may wait in a queue makes room, or the newest one, so that the
+    /// silence keeps its length.
     fn add(&mut self, now: Timestamp, lifetime: Duration, item: Unanswered) {
         if item.sent_at <= self.alive_at || now.since(item.sent_at) > lifetime {
             return;
         }
         self.retain(|item, _| now.since(item.sent_at) <= lifetime);
+        let is_queued =
+            |item: &Option<Unanswered>| item.is_some_and(|item| item.sent == Sent::QueuedRequest);
         let free = self.unanswered.iter().position(Option::is_none);
-        self.unanswered[free.unwrap_or(MAX_UNANSWERED - 1)] = Some(item);
+        let place = free.or_else(|| self.unanswered.iter().rposition(is_queued));
+        self.unanswered[place.unwrap_or(MAX_UNANSWERED - 1)] = Some(item);
     }
 
     fn counting(&self, now: Timestamp, lifetime: Duration) -> impl Iterator<Item = &Unanswered> {
@@ -302,7 +310,10 @@
         lifetime: Duration,
         is_sound: impl Fn(u64) -> bool + Copy,
     ) -> bool {
-        let counting = || self.counting(now, lifetime).filter(move |item| is_sound(item.observer));
+        let counting = || {
+            let counting = self.counting(now, lifetime).filter(|u| u.sent != Sent::QueuedRequest);
+            counting.filter(move |item| is_sound(item.observer))
+        };
         let mut observers = counting().map(|item| item.observer);
         let first = observers.next();
         let oldest = counting().map(|item| item.sent_at).min();
@@ -317,7 +328,7 @@
     fn weight(&self) -> u32 {
         match self.sent {
             Sent::Opening => OPENING_WEIGHT,
-            Sent::Request => REQUEST_WEIGHT,
+            Sent::Request | Sent::QueuedRequest => REQUEST_WEIGHT,
         }
     }
 
@@ -327,6 +338,6 @@
 
     fn counts(&self, now: Timestamp, lifetime: Duration) -> bool {
         let age = now.since(self.sent_at);
-        age <= lifetime && (self.sent == Sent::Request || age >= MIN_OPENING_AGE)
+        age <= lifetime && (self.sent != Sent::Opening || age >= MIN_OPENING_AGE)
     }
 }
--- a/crates/health/tests/silence.rs
+++ b/crates/health/tests/silence.rs
@@ -102,6 +102,30 @@
     assert!(!silences.has_unanswered_request(at(1_000), 3));
 }
 
+/// Guards against resets in a burst: requests that wait in the queue of an upstream that lives are copied,
+/// too. They make it a suspect, and leave room for evidence.
+#[test]
+fn is_silent_needs_more_than_queued_requests() {
+    let mut silences = detector();
+    let queued = |silences: &mut Detector, from| {
+        let unanswered = vec![(Sent::QueuedRequest, Duration::from_millis(300)); 8];
+        silences.merge(at(1_000), from, &News { key: 3, unanswered, alive: None });
+    };
+    for from in 1..4 {
+        queued(&mut silences, from);
+    }
+    let opening = (Sent::Opening, Duration::from_millis(300));
+    silences.merge(at(1_000), 4, &News { key: 3, unanswered: vec![opening], alive: None });
+    assert!(silences.is_suspect(at(1_000), 3));
+    assert!(!silences.is_silent(at(1_000), 3));
+    assert!(!silences.has_unanswered_request(at(1_000), 3));
+    for from in 1..3 {
+        silences.merge(at(1_000), from, &copies(3, &[300]));
+    }
+    assert!(silences.is_silent(at(1_000), 3));
+    assert!(silences.has_unanswered_request(at(1_000), 3));
+}
+
 /// Most upstreams are silent: the cause is this entry's own link.
 #[test]
 fn is_silent_needs_others_that_live() {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -492,6 +492,11 @@
                 let recipients = update_recipients(&self.name, members());
                 recipients.into_iter().map(|addr| (addr, bytes.clone())).collect()
             }
+            PeerMessage::Acknowledgements(news) => {
+                let bytes = silences::encode_acknowledgements(news);
+                let recipients = update_recipients(&self.name, members());
+                recipients.into_iter().map(|addr| (addr, bytes.clone())).collect()
+            }
             PeerMessage::Pins(pins) => pins::share(pins, &self.name, members),
             PeerMessage::LookUp(flows) => {
                 let holders = |flow: &FlowKey| pins::holders(flow, &self.name, members());
@@ -613,7 +618,13 @@
     async fn handle(&mut self, msg: ReceivedSilences, _: &mut Context<Self, ()>) {
         if self.is_from_member(msg.from) {
             let news = silences::decode(&msg.silences);
-            self.send_command(Command::SilenceNews(load_news::entry_id(msg.from), news));
+            if !news.is_empty() {
+                self.send_command(Command::SilenceNews(load_news::entry_id(msg.from), news));
+            }
+            let acknowledgements = silences::decode_acknowledgements(&msg.silences);
+            if !acknowledgements.is_empty() {
+                self.send_command(Command::Acknowledgements(acknowledgements));
+            }
         }
     }
 }
--- a/crates/node/src/event_log.rs
+++ b/crates/node/src/event_log.rs
@@ -279,6 +279,13 @@
         counter!("ibis_hedges_total").absolute(counts.engine.hedges);
         counter!("ibis_resets_total").absolute(counts.engine.resets);
         counter!("ibis_resets_ahead_total").absolute(counts.engine.resets_ahead);
+        counter!("ibis_request_copies_total").absolute(counts.engine.request_copies);
+        counter!("ibis_requests_unacknowledged_total")
+            .absolute(counts.engine.unacknowledged_requests);
+        counter!("ibis_acknowledgements_total", "when" => "at_once")
+            .absolute(counts.engine.acknowledged_at_once);
+        counter!("ibis_acknowledgements_total", "when" => "late")
+            .absolute(counts.engine.acknowledged_late);
         counter!("ibis_stranded_searches_total").absolute(counts.engine.stranded_searches);
         counter!("ibis_answers_failed_total").absolute(counts.engine.answers_failed);
         counter!("ibis_news_lost_total").absolute(counts.updates_lost);
@@ -311,6 +318,13 @@
             inquiries_timed_out =
                 counts.engine.inquiries_timed_out - self.last_counts.engine.inquiries_timed_out,
             refusals = counts.engine.refusals - self.last_counts.engine.refusals,
+            request_copies = counts.engine.request_copies - self.last_counts.engine.request_copies,
+            unacknowledged = counts.engine.unacknowledged_requests
+                - self.last_counts.engine.unacknowledged_requests,
+            acknowledged_at_once =
+                counts.engine.acknowledged_at_once - self.last_counts.engine.acknowledged_at_once,
+            acknowledged_late =
+                counts.engine.acknowledged_late - self.last_counts.engine.acknowledged_late,
             unknown_token = counts.unknown_token - self.last_counts.unknown_token,
             held = counts.held - self.last_counts.held,
             old_openings = counts.old_openings - self.last_counts.old_openings,
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -14,6 +14,7 @@
 use load::Entry;
 use rustix::event::{PollFd, PollFlags, Timespec};
 use stdx::time::{Clock, Timestamp};
+use steer::acknowledgements::AcknowledgementTally;
 use steer::decision::{Drop, Hedge};
 use steer::{
     Action, Backlog, Engine, Event, FlowKey, HoldQueue, LookupQueue, Packet, Pin, Stats, Table,
@@ -77,6 +78,8 @@
     PeerUpdates(u64, Vec<Tally<UpstreamId>>),
     /// Applies another entry's news of silent upstreams; the number is made as above.
     SilenceNews(u64, Vec<health::News<UpstreamId>>),
+    /// Applies what another entry has observed of acknowledgements, by the hash of services' names.
+    Acknowledgements(Vec<(u64, AcknowledgementTally)>),
     /// Applies pins of another entry.
     Pins(Vec<Pin>),
     /// All other entries that were asked about these flows have answered.
@@ -100,6 +103,8 @@
     Outcomes(Vec<Tally<UpstreamId>>),
     /// News of silent upstreams.
     Silences(Vec<health::News<UpstreamId>>),
+    /// How upstreams acknowledge requests, by the hash of services' names.
+    Acknowledgements(Vec<(u64, AcknowledgementTally)>),
     /// New pins.
     Pins(Vec<Pin>),
     /// Asks for the pins of flows.
@@ -534,6 +539,7 @@
             Command::ZoneReachable(zone) => self.engine.on_zone_reachable(now, &zone),
             Command::PeerUpdates(from, updates) => self.engine.on_peer_updates(now, from, &updates),
             Command::SilenceNews(from, news) => self.engine.on_silence_news(now, from, &news),
+            Command::Acknowledgements(news) => self.engine.on_acknowledgement_news(&news),
             Command::Pins(pins) => self.on_pins(now, &pins),
             Command::Answered(flows) => self.engine.on_answered(&flows),
             Command::FindPins(from, flows) => {
@@ -622,6 +628,10 @@
         if !news.is_empty() {
             self.send_to_peers(PeerMessage::Silences(news));
         }
+        let news = self.engine.take_acknowledgement_news(now);
+        if !news.is_empty() {
+            self.send_to_peers(PeerMessage::Acknowledgements(news));
+        }
     }
 
     /// Sends events and counts to the control thread. Never blocks: if the queue is full, events
--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -252,6 +252,14 @@
     pub resets: u64,
     /// Those of them that were reset before their client sent anything.
     pub resets_ahead: u64,
+    /// Copies of requests that clients sent.
+    pub request_copies: u64,
+    /// Those of them whose request the upstream would have acknowledged, even from a queue.
+    pub unacknowledged_requests: u64,
+    /// Slow answers to requests that the upstream had acknowledged before.
+    pub acknowledged_at_once: u64,
+    /// Answers to requests of which the client had sent a copy.
+    pub acknowledged_late: u64,
     /// Searches of all flows for those of upstreams that have ended or fallen silent.
     pub stranded_searches: u64,
     /// Answers that failed.
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -8,10 +8,12 @@
 
 use balance::TokenBucket;
 use health::{News, Outcome, OutlierState, Tally};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use load::LoadView;
+use stdx::hash;
 use stdx::time::Timestamp;
 
+use crate::acknowledgements::Acknowledgements;
 use crate::baseline::AnswerBaseline;
 use crate::decision::{Action, Drop, Event, Hedge, Hop, Refusal, Reset, Settings, Stats};
 use crate::inquiries::Inquiries;
@@ -76,6 +78,8 @@
     opening_latency: LatencyEstimator,
     /// Baselines by service address.
     baselines: IndexMap<SocketAddrV4, AnswerBaseline>,
+    /// How upstreams acknowledge requests, by the hash of their service's name.
+    acknowledgements: Acknowledgements<u64>,
     hedge_budget: TokenBucket,
     pins: Pins,
     /// Pins that the other entries don't have yet.
@@ -111,6 +115,7 @@
             timers: BinaryHeap::new(),
             opening_latency: LatencyEstimator::default(),
             baselines: IndexMap::new(),
+            acknowledgements: Acknowledgements::new(now),
             hedge_budget: TokenBucket::new(now, HEDGE_BUDGET_BURST, MIN_HEDGES_PER_S),
             pins: Pins::default(),
             new_pins: Vec::new(),
@@ -191,6 +196,9 @@
             self.tokens.entry(id.token()).or_default().push(*id);
         }
         self.baselines.retain(|addr, _| table.routes.contains_key(addr));
+        let services: IndexSet<u64> =
+            table.services.iter().map(|service| hash::fnv1a(&service.name)).collect();
+        self.acknowledgements.retain(|service| services.contains(&service));
         self.load.retain(|id| table.upstreams.contains_key(&UpstreamId(id)));
         let before = std::mem::replace(&mut self.table, table);
         self.note_ended(&before);
@@ -461,9 +469,8 @@
             let timeout = baseline.timeout();
             self.schedule(now + timeout, &packet.flow);
         }
-        if let Some(sent_at) = update.copy_of {
-            self.on_copy(now, upstream, sent_at);
-        }
+        self.on_acknowledgement(upstream, update.acknowledgement);
+        let progress = self.on_progress(now, upstream, &update);
         if let Some(latency_ratio_milli) = update.latency_ratio_milli {
             self.selector.record_first_byte(now, upstream, latency_ratio_milli);
             self.observe_slowness(now, upstream, latency_ratio_milli);
@@ -484,7 +491,7 @@
                 );
             }
         }
-        update.stalled_for.map_or(Progress::Advancing, Progress::Stalled)
+        progress
     }
 
     /// Records a failure if the flow's request has passed its answer timeout.
--- a/crates/steer/src/engine/stranding.rs
+++ b/crates/steer/src/engine/stranding.rs
@@ -4,14 +4,17 @@
 use std::time::Duration;
 
 use balance::TokenBucket;
+use health::Sent;
 use indexmap::IndexSet;
+use stdx::hash;
 use stdx::time::Timestamp;
 
 use super::Engine;
+use crate::acknowledgements::{Acknowledgement, AcknowledgementTally};
 use crate::decision::{Event, Reset};
 use crate::openings::Stage;
 use crate::packet::{FlowKey, Packet};
-use crate::request::Request;
+use crate::request::{Request, RequestUpdate};
 use crate::stranded::{self, Progress, ResetReason};
 use crate::table::{Table, UpstreamId};
 
@@ -91,10 +94,10 @@
             let recently = packet.data_len == 0;
             self.selector.record_alive(now, &self.table, upstream, requested_at, recently);
         }
-        if let Some(sent_at) = update.copy_of {
-            self.on_copy(now, upstream, sent_at);
-        }
-        update.stalled_for.map_or(Progress::Advancing, Progress::Stalled)
+        // The request may be a copy whose original went through another entry.
+        let late = update.acknowledgement.filter(|kind| *kind == Acknowledgement::Late);
+        self.on_acknowledgement(upstream, late);
+        self.on_progress(now, upstream, &update)
     }
 
     /// Takes note of packets that wait to be read.
@@ -106,13 +109,72 @@
         self.backlogged_since = backlogged.then(|| self.backlogged_since.unwrap_or(now));
     }
 
-    /// A client sent a copy of a request that came at `sent_at`. If that had waited here for long, its
-    /// upstream got it too late to answer before the copy.
-    pub(super) fn on_copy(&mut self, now: Timestamp, upstream: UpstreamId, sent_at: Timestamp) {
-        if sent_at > self.late_until {
-            self.selector.record_unanswered_request(now, upstream, sent_at);
-            self.note_stranded(now, upstream);
+    /// Takes note of when an upstream acknowledged a request.
+    pub(super) fn on_acknowledgement(
+        &mut self,
+        upstream: UpstreamId,
+        acknowledgement: Option<Acknowledgement>,
+    ) {
+        let Some((acknowledgement, service)) = acknowledgement.zip(self.service_of(upstream))
+        else {
+            return;
+        };
+        match acknowledgement {
+            Acknowledgement::AtOnce => self.stats.acknowledged_at_once += 1,
+            Acknowledgement::Late => self.stats.acknowledged_late += 1,
         }
+        self.acknowledgements.observe(service, acknowledgement);
+    }
+
+    /// Merges what another entry has observed of acknowledgements, by the hash of services' names.
+    pub fn on_acknowledgement_news(&mut self, news: &[(u64, AcknowledgementTally)]) {
+        for (service, tally) in news {
+            if self.table.services.iter().any(|known| hash::fnv1a(&known.name) == *service) {
+                self.acknowledgements.merge(*service, *tally);
+            }
+        }
+    }
+
+    /// What the other entries are to be told of acknowledgements.
+    pub fn take_acknowledgement_news(
+        &mut self,
+        now: Timestamp,
+    ) -> Vec<(u64, AcknowledgementTally)> {
+        self.acknowledgements.take_untold(now)
+    }
+
+    /// Takes note of a copy of a request, and returns the flow's progress. If the request had waited here
+    /// for long, its upstream got it too late to acknowledge it before the copy.
+    pub(super) fn on_progress(
+        &mut self,
+        now: Timestamp,
+        upstream: UpstreamId,
+        update: &RequestUpdate,
+    ) -> Progress {
+        let Some(stalled_for) = update.stalled_for else {
+            return Progress::Advancing;
+        };
+        let Some(copy) = update.copy.filter(|copy| copy.sent_at > self.late_until) else {
+            return Progress::Stalled(stalled_for);
+        };
+        let was_due = copy.repeated || self.acknowledges_at_once(upstream);
+        let sent = if was_due { Sent::Request } else { Sent::QueuedRequest };
+        self.stats.unacknowledged_requests += u64::from(was_due);
+        self.stats.request_copies += 1;
+        self.selector.record_unanswered_request(now, upstream, sent, copy.sent_at);
+        self.note_stranded(now, upstream);
+        if was_due { Progress::Unacknowledged(stalled_for) } else { Progress::Stalled(stalled_for) }
+    }
+
+    fn acknowledges_at_once(&self, upstream: UpstreamId) -> bool {
+        let service = self.service_of(upstream);
+        service.is_some_and(|service| self.acknowledgements.are_at_once(service))
+    }
+
+    /// Hash of the name of an upstream's service.
+    fn service_of(&self, upstream: UpstreamId) -> Option<u64> {
+        let service = self.table.upstreams.get(&upstream)?.service;
+        Some(hash::fnv1a(&self.table.services.get(usize::from(service.0))?.name))
     }
 
     /// Has the flows of an upstream searched for, if there is evidence against it.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! The crate does no I/O, reads no clock and does not depend on the packet format.
 
+pub mod acknowledgements;
 pub mod backlog;
 pub mod baseline;
 pub mod decision;
--- a/crates/steer/src/request.rs
+++ b/crates/steer/src/request.rs
@@ -5,6 +5,7 @@
 
 use stdx::time::Timestamp;
 
+use crate::acknowledgements::{Acknowledgement, Answer};
 use crate::baseline::AnswerBaseline;
 use crate::packet::Packet;
 
@@ -35,6 +36,10 @@
         advanced_at: Timestamp,
         /// When the request, or the last copy of it that was reported, arrived.
         copied_at: Timestamp,
+        /// Packets with new data.
+        packets: u32,
+        /// Copies that were reported since the last new data.
+        copies: u32,
         /// Whether the client has acknowledged a byte of the answer.
         answer_started: bool,
         /// Whether the outcome was reported; it is reported once.
@@ -57,6 +62,15 @@
         Failed(AnswerFailure),
     }
 
+    /// A copy of a request that its client sent for want of an acknowledgement.
+    pub struct RequestCopy {
+        /// When the request, or the last copy of it, was sent before.
+        pub sent_at: Timestamp,
+        /// Whether a copy of the same data was sent before. An upstream acknowledges every second packet at
+        /// once, even if the request waits in its queue.
+        pub repeated: bool,
+    }
+
     /// Changes to the request that a packet caused.
     #[derive(Default)]
     pub struct RequestUpdate {
@@ -67,9 +81,10 @@
         /// Time since the last packet with new data or a new acknowledgement, if this one has
         /// neither.
         pub stalled_for: Option<Duration>,
-        /// When the request was sent before, if this packet is a copy of it because the upstream has
-        /// not acknowledged it.
-        pub copy_of: Option<Timestamp>,
+        /// Set if this packet is a copy of the request, because the client has no acknowledgement.
+        pub copy: Option<RequestCopy>,
+        /// When the upstream acknowledged the request, if the first bytes of the answer tell.
+        pub acknowledgement: Option<Acknowledgement>,
         /// Latency of the answer's first byte relative to the baseline, in thousandths. Set when
         /// that byte is acknowledged, once the baseline has enough samples.
         pub latency_ratio_milli: Option<u32>,
@@ -90,12 +105,23 @@
             return Self::start(request, now, packet);
         };
         let acked_before = current.acked;
+        let awaited = current.awaits_answer();
         let latency_ratio_milli = current.on_ack(now, packet, baseline);
         let acked = current.acked != acked_before;
+        let acknowledgement = (awaited && acked).then(|| {
+            let waited = now.since(current.received_at);
+            let first_bytes = current.acked.wrapping_sub(current.first_ack);
+            // A FIN follows the answer at any time, too.
+            let at_any_time = packet.data_len > 0 || packet.fin;
+            let answer = Answer { waited, copies: current.copies, first_bytes, at_any_time };
+            // Of the packets of a longer request some are acknowledged at once anywhere.
+            answer.acknowledgement().filter(|_| current.packets == 1)
+        });
         let advance = packet.seq.wrapping_add(packet.data_len.into()).wrapping_sub(current.end_seq);
         let has_new_data = packet.data_len > 0 && advance > 0 && advance < MAX_SEQ_ADVANCE_BYTES;
         if has_new_data && !current.answer_started && !current.reported {
             current.end_seq = current.end_seq.wrapping_add(advance);
+            (current.packets, current.copies) = (current.packets + 1, 0);
         }
         let is_next_request = has_new_data && (current.answer_started || current.reported);
         let ended = is_next_request || packet.fin || packet.rst;
@@ -109,9 +135,22 @@
             && packet.data_len > 0
             && !current.answer_started
             && now.since(current.copied_at) >= MIN_COPY_INTERVAL;
-        let copy_of = is_copy.then(|| std::mem::replace(&mut current.copied_at, now));
+        let copy = is_copy.then(|| {
+            let sent_at = std::mem::replace(&mut current.copied_at, now);
+            current.copies += 1;
+            RequestCopy { sent_at, repeated: current.copies > 1 }
+        });
         let started = is_next_request && Self::start(request, now, packet).started;
-        RequestUpdate { started, acked, stalled_for, copy_of, latency_ratio_milli, outcome }
+        let acknowledgement = acknowledgement.flatten();
+        RequestUpdate {
+            started,
+            acked,
+            stalled_for,
+            copy,
+            acknowledgement,
+            latency_ratio_milli,
+            outcome,
+        }
     }
 
     /// The client's highest acknowledgement number.
@@ -147,6 +186,8 @@
             end_seq: packet.seq.wrapping_add(packet.data_len.into()),
             advanced_at: now,
             copied_at: now,
+            packets: 1,
+            copies: 0,
             answer_started: false,
             reported: false,
         });
--- a/crates/steer/src/selection.rs
+++ b/crates/steer/src/selection.rs
@@ -429,9 +429,10 @@
         &mut self,
         now: Timestamp,
         id: UpstreamId,
+        sent: Sent,
         sent_at: Timestamp,
     ) {
-        self.silences.record_unanswered(now, id, Sent::Request, sent_at);
+        self.silences.record_unanswered(now, id, sent, sent_at);
     }
 
     /// Merges what the entry `from` has seen of a silent upstream.
--- a/crates/steer/src/stranded.rs
+++ b/crates/steer/src/stranded.rs
@@ -44,6 +44,8 @@
         Advancing,
         /// The packet carries nothing new; time since the last one that did.
         Stalled(Duration),
+        /// As above; it is a copy of what the upstream would have acknowledged, even from a queue.
+        Unacknowledged(Duration),
     }
 
     /// Why an open flow is reset.
@@ -118,14 +120,21 @@
     if !repeatable || packet.fin {
         return None;
     }
-    let stalled = matches!(progress, Progress::Stalled(time) if time >= MIN_STALL);
+    let (stalled_for, unacknowledged) = match progress {
+        Progress::Stalled(time) => (time, false),
+        Progress::Unacknowledged(time) => (time, true),
+        Progress::Unknown | Progress::Advancing => (Duration::ZERO, false),
+    };
+    let stalled = stalled_for >= MIN_STALL;
     let has_data = packet.data_len > 0;
     match condition {
         UpstreamCondition::ZoneUnreachable(_) if condition.strands_flows(now) => {
             (has_data || stalled).then_some(ResetReason::ZoneUnreachable)
         }
         UpstreamCondition::Silent if has_data => Some(ResetReason::UpstreamSilent),
-        UpstreamCondition::Unlisted if has_data && stalled => Some(ResetReason::UpstreamUnlisted),
+        UpstreamCondition::Unlisted if has_data && stalled && unacknowledged => {
+            Some(ResetReason::UpstreamUnlisted)
+        }
         _ => None,
     }
 }
