--- a/crates/steer/src/decision.rs
+++ b/crates/steer/src/decision.rs
@@ -258,7 +258,7 @@
     pub unacknowledged_requests: u64,
     /// Slow answers to requests that the upstream had acknowledged before.
     pub acknowledged_at_once: u64,
-    /// Answers to requests of which the client had sent a copy.
+    /// Answers to requests of which the client had sent one copy.
     pub acknowledged_late: u64,
     /// Searches of all flows for those of upstreams that have ended or fallen silent.
     pub stranded_searches: u64,
