health: queued requests don't take the place of evidence

An upstream that ends in a burst could have been found late: with eight observations kept, a request that may wait in a queue replaced the last one, which may be the only one of a second entry.

Change: a queued request is left out if only evidence and openings are kept.

Evidence: is_silent_in_spite_of_later_queued_requests fails without the change and passes with it.

--- a/crates/health/src/silence.rs
+++ b/crates/health/src/silence.rs
@@ -278,8 +278,8 @@
         self.unanswered = kept;
     }
 
-    /// Adds an item. The newest one that may wait in a queue makes room, or the newest one, so that the
-    /// silence keeps its length.
+    /// Adds an item. The newest queued request makes room, which is no evidence. Without any, the newest
+    /// item does, so that the silence keeps its length, but not for a queued request.
     fn add(&mut self, now: Timestamp, lifetime: Duration, item: Unanswered) {
         if item.sent_at <= self.alive_at || now.since(item.sent_at) > lifetime {
             return;
@@ -289,7 +289,9 @@
             |item: &Option<Unanswered>| item.is_some_and(|item| item.sent == Sent::QueuedRequest);
         let free = self.unanswered.iter().position(Option::is_none);
         let place = free.or_else(|| self.unanswered.iter().rposition(is_queued));
-        self.unanswered[place.unwrap_or(MAX_UNANSWERED - 1)] = Some(item);
+        if place.is_some() || item.sent != Sent::QueuedRequest {
+            self.unanswered[place.unwrap_or(MAX_UNANSWERED - 1)] = Some(item);
+        }
     }
 
     fn counting(&self, now: Timestamp, lifetime: Duration) -> impl Iterator<Item = &Unanswered> {
--- a/crates/health/tests/silence.rs
+++ b/crates/health/tests/silence.rs
@@ -126,6 +126,19 @@
     assert!(silences.has_unanswered_request(at(1_000), 3));
 }
 
+/// Guards against a real end that is found late in a burst: requests that may wait in queues took the place of
+/// evidence.
+#[test]
+fn is_silent_in_spite_of_later_queued_requests() {
+    let mut silences = detector();
+    silences.merge(at(1_000), 1, &copies(3, &[300; 7]));
+    silences.merge(at(1_000), 2, &copies(3, &[300]));
+    assert!(silences.is_silent(at(1_000), 3));
+    let unanswered = vec![(Sent::QueuedRequest, Duration::from_millis(200)); 8];
+    silences.merge(at(1_010), 3, &News { key: 3, unanswered, alive: None });
+    assert!(silences.is_silent(at(1_010), 3));
+}
+
 /// Most upstreams are silent: the cause is this entry's own link.
 #[test]
 fn is_silent_needs_others_that_live() {
