--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -28,6 +28,7 @@
 use crate::table::{Table, Token, Upstream, UpstreamId, ZoneId};
 
 mod acceptance;
+mod acknowledging;
 mod load_news;
 mod pinning;
 mod stranding;
--- a/crates/steer/src/engine/stranding.rs
+++ b/crates/steer/src/engine/stranding.rs
@@ -6,11 +6,10 @@
 use balance::TokenBucket;
 use health::Sent;
 use indexmap::IndexSet;
-use stdx::hash;
 use stdx::time::Timestamp;
 
 use super::Engine;
-use crate::acknowledgements::{Acknowledgement, AcknowledgementTally};
+use crate::acknowledgements::Acknowledgement;
 use crate::decision::{Event, Reset};
 use crate::openings::Stage;
 use crate::packet::{FlowKey, Packet};
@@ -109,40 +108,6 @@
         self.backlogged_since = backlogged.then(|| self.backlogged_since.unwrap_or(now));
     }
 
-    /// Takes note of when an upstream acknowledged a request.
-    pub(super) fn on_acknowledgement(
-        &mut self,
-        upstream: UpstreamId,
-        acknowledgement: Option<Acknowledgement>,
-    ) {
-        let Some((acknowledgement, service)) = acknowledgement.zip(self.service_of(upstream))
-        else {
-            return;
-        };
-        match acknowledgement {
-            Acknowledgement::AtOnce => self.stats.acknowledged_at_once += 1,
-            Acknowledgement::Late => self.stats.acknowledged_late += 1,
-        }
-        self.acknowledgements.observe(service, acknowledgement);
-    }
-
-    /// Merges what another entry has observed of acknowledgements, by the hash of services' names.
-    pub fn on_acknowledgement_news(&mut self, news: &[(u64, AcknowledgementTally)]) {
-        for (service, tally) in news {
-            if self.table.services.iter().any(|known| hash::fnv1a(&known.name) == *service) {
-                self.acknowledgements.merge(*service, *tally);
-            }
-        }
-    }
-
-    /// What the other entries are to be told of acknowledgements.
-    pub fn take_acknowledgement_news(
-        &mut self,
-        now: Timestamp,
-    ) -> Vec<(u64, AcknowledgementTally)> {
-        self.acknowledgements.take_untold(now)
-    }
-
     /// Takes note of a copy of a request, and returns the flow's progress. If the request had waited here
     /// for long, its upstream got it too late to acknowledge it before the copy.
     pub(super) fn on_progress(
@@ -166,17 +131,6 @@
         if was_due { Progress::Unacknowledged(stalled_for) } else { Progress::Stalled(stalled_for) }
     }
 
-    fn acknowledges_at_once(&self, upstream: UpstreamId) -> bool {
-        let service = self.service_of(upstream);
-        service.is_some_and(|service| self.acknowledgements.are_at_once(service))
-    }
-
-    /// Hash of the name of an upstream's service.
-    fn service_of(&self, upstream: UpstreamId) -> Option<u64> {
-        let service = self.table.upstreams.get(&upstream)?.service;
-        Some(hash::fnv1a(&self.table.services.get(usize::from(service.0))?.name))
-    }
-
     /// Has the flows of an upstream searched for, if there is evidence against it.
     pub(super) fn note_stranded(&mut self, now: Timestamp, id: UpstreamId) {
         let upstream = self.table.upstreams.get(&id);
