steer: a late copy of an opening is not sent to another upstream

Callers saw the first request of an open flow reset by an upstream that never had it, after entries had been paused for a second while flows were opened.

Cause: an opening that waited in a paused entry's socket was forwarded although another entry had opened the flow meanwhile and its pin was known. The upstream that got it answered, the client's token named it, and the entry's own record of the opening went before the pin for the next 2 s.

Change: an opening whose flow has been pinned for less than 2 s, with its sequence number, is a late copy and is dropped.

--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -290,6 +290,9 @@
                 Stage::Open { .. } | Stage::Closed { .. } => Action::Drop(Drop::LateRetransmit),
             };
         }
+        if self.is_open_elsewhere(now, packet) {
+            return Action::Drop(Drop::LateRetransmit);
+        }
         if let Some(previous) = self.openings.remove(&flow) {
             self.release(&previous);
         }
--- a/crates/steer/src/engine/pinning.rs
+++ b/crates/steer/src/engine/pinning.rs
@@ -1,6 +1,8 @@
 //! Flows that this entry did not open, or whose token may name another upstream: adoption, pins and
 //! lookups.
 
+use std::time::Duration;
+
 use stdx::time::Timestamp;
 
 use super::{Engine, OPEN_EXPIRY};
@@ -11,6 +13,10 @@
 use crate::pins::Pin;
 use crate::table::UpstreamId;
 
+/// Time after which a copy of an opening can arrive no more. Clients send the last one after 600 ms, and
+/// those that have waited here for 1.4 s are not read.
+const MAX_OPENING_DELAY: Duration = Duration::from_secs(2);
+
 impl Engine {
     /// Pins since the last call, for the other entries.
     pub fn take_new_pins(&mut self) -> Vec<Pin> {
@@ -66,6 +72,14 @@
         }
     }
 
+    /// Whether an opening is a copy that was delayed, by its network or a pause of this entry, until its
+    /// flow had opened through another entry. An upstream that gets it would answer for a flow that it
+    /// does not have.
+    pub(super) fn is_open_elsewhere(&self, now: Timestamp, opening: &Packet) -> bool {
+        let pinned_since = self.pins.pinned_since(&opening.flow, opening.seq);
+        pinned_since.is_some_and(|since| now.since(since) < MAX_OPENING_DELAY)
+    }
+
     /// What this entry knows of a flow's upstream, for an entry that does not know it: its own record
     /// and its pin. They differ if one of them is of an earlier flow on the same ports.
     pub fn find_pins(
--- a/crates/steer/src/pins.rs
+++ b/crates/steer/src/pins.rs
@@ -45,36 +45,54 @@
     }
 }
 
+/// A pin and when it was first known.
+#[derive(Debug, Clone, Copy)]
+struct KnownPin {
+    pin: Pin,
+    since: Timestamp,
+}
+
 /// A bounded table of pins. It consists of two generations: when the younger one is full or old,
 /// it replaces the other one.
 #[derive(Debug, Clone, Default)]
 pub struct Pins {
-    young: IndexMap<FlowKey, Pin>,
-    old: IndexMap<FlowKey, Pin>,
+    young: IndexMap<FlowKey, KnownPin>,
+    old: IndexMap<FlowKey, KnownPin>,
     rotated_at: Timestamp,
 }
 
 impl Pins {
     /// Adds a pin, which replaces an earlier one of the same ports.
     pub fn insert(&mut self, now: Timestamp, pin: Pin) {
+        let known = self.find(&pin.flow).filter(|known| known.pin == pin);
         self.rotate(now);
-        self.young.insert(pin.flow, pin);
+        self.young.insert(pin.flow, known.unwrap_or(KnownPin { pin, since: now }));
     }
 
     /// The pin of a flow. Its use keeps it.
     pub fn get(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Pin> {
-        if let Some(pin) = self.young.get(flow) {
-            return Some(*pin);
+        let pin = self.find(flow)?.pin;
+        if !self.young.contains_key(flow) {
+            self.insert(now, pin);
         }
-        let pin = self.old.get(flow).copied()?;
-        self.insert(now, pin);
         Some(pin)
     }
 
+    /// Since when the flow of an opening has been pinned, by the opening's sequence number.
+    pub fn pinned_since(&self, flow: &FlowKey, initial_seq: u32) -> Option<Timestamp> {
+        let known = self.find(flow).filter(|known| known.pin.initial_seq == initial_seq)?;
+        Some(known.since)
+    }
+
     /// All pins.
     pub fn iter(&self) -> impl Iterator<Item = &Pin> {
         let replaced = |flow: &FlowKey| self.young.contains_key(flow);
-        self.young.values().chain(self.old.values().filter(move |pin| !replaced(&pin.flow)))
+        let old = self.old.values().filter(move |known| !replaced(&known.pin.flow));
+        self.young.values().chain(old).map(|known| &known.pin)
+    }
+
+    fn find(&self, flow: &FlowKey) -> Option<KnownPin> {
+        self.young.get(flow).or_else(|| self.old.get(flow)).copied()
     }
 
     fn rotate(&mut self, now: Timestamp) {
--- a/crates/steer/tests/pins.rs
+++ b/crates/steer/tests/pins.rs
@@ -60,6 +60,25 @@
     assert_eq!(forwarded_to(action), forwarded_to(opening));
 }
 
+/// Guards against first requests that are reset by an upstream which got a copy of the opening after
+/// the flow had opened elsewhere: the copy had waited in the socket of an entry that was paused, and
+/// the other entry's pin was read before it.
+#[test]
+fn on_packet_copy_of_a_pinned_opening() {
+    let (mut paused, mut opener) = (engine(table()), engine(table()));
+    let retransmit = Packet { ack: 1, ..opening_packet(1) };
+    let opening = opener.on_packet(at(200), &retransmit, &OPENING_BYTES);
+    let first_ack = ack_packet(1, forwarded_to(opening).unwrap(), 5_000);
+    let first_ack = Packet { token: opening_token(opening), ..first_ack };
+    opener.on_packet(at(206), &first_ack, &[]);
+    paused.on_pins(at(1_200), &opener.take_new_pins());
+    let copy = paused.on_packet(at(1_201), &opening_packet(1), &OPENING_BYTES);
+    assert_eq!(copy, Action::Drop(Drop::LateRetransmit));
+    // A client that begins anew on the same ports, with the same number, is served.
+    let anew = paused.on_packet(at(9_000), &opening_packet(1), &OPENING_BYTES);
+    assert!(forwarded_to(anew).is_some(), "{anew:?}");
+}
+
 /// A flow that was opened at an upstream that only another entry had tried is pinned.
 #[test]
 fn on_packet_flow_opened_at_attempt_of_another_entry_is_pinned() {
