steer: flows are pinned if a retransmit of their opening may have gone elsewhere

Callers saw first requests on flows that they had opened ahead reset by an upstream that never had the flow, after a planned stop of the entry that had opened it.

Cause: an opening and its retransmit go through two entries, and the answer to the first one is acknowledged at the first entry. That one knew of a single attempt and pinned nothing, so that its knowledge ended with it, while the other upstream repeated its answer and turned the client's token.

A packet may have waited since the socket was last empty or since it was queued; Engine::note_arrival tells.

--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -371,6 +371,7 @@
                 Ok(len) => self.on_received(self.clock.now(), buf, len),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     self.backlog.on_empty();
+                    self.engine.note_arrival(self.clock.now());
                     return Ok(false);
                 }
                 // An ICMP error for an earlier packet, or a signal; the socket is still usable.
@@ -568,6 +569,9 @@
         if !self.engine.table().synced {
             return;
         }
+        if let Some(since) = self.hold_queue.queued_since() {
+            self.engine.note_arrival(since);
+        }
         let mut buf = [0_u8; ENCAP_BYTES + MAX_DATAGRAM_BYTES];
         while let Some(packet) = self.hold_queue.pop(self.clock.now()) {
             self.on_queued(self.clock.now(), &mut buf, &packet);
--- a/crates/steer/src/engine.rs
+++ b/crates/steer/src/engine.rs
@@ -93,6 +93,8 @@
     strays: Strays,
     stranded: Stranded,
     last_timer_run: Timestamp,
+    /// Time after which packets that are handled now have arrived; `None` if it is the present.
+    arrived_after: Option<Timestamp>,
     /// Since when received packets have been waiting to be read without a break.
     backlogged_since: Option<Timestamp>,
     /// Up to when packets may have waited for long.
@@ -126,6 +128,7 @@
             strays: Strays::default(),
             stranded: Stranded::new(now),
             last_timer_run: now,
+            arrived_after: None,
             backlogged_since: None,
             late_until: Timestamp::default(),
             load: LoadView::new(),
@@ -147,6 +150,12 @@
         self.on_established(now, packet)
     }
 
+    /// Packets that are handled from now on have arrived after `at`, and may have waited since then: all
+    /// earlier ones have been read from the socket, or they were queued from then on.
+    pub fn note_arrival(&mut self, at: Timestamp) {
+        self.arrived_after = Some(at);
+    }
+
     /// Handles expired timers. Returns the next hedged request to send, if any; to be called until
     /// it returns `None`.
     ///
@@ -309,6 +318,7 @@
         };
         let mut opening = Opening::new(now, service, packet.seq, RawPacket::new(raw));
         opening.began_as_retransmit = packet.ack > 0;
+        opening.arrived_after = self.arrived_after.unwrap_or(now);
         let hop = match self.pick(now, &opening) {
             Ok(hop) => hop,
             Err(SelectError::NoneEligible) => return self.refuse(packet, Refusal::NoneEligible),
--- a/crates/steer/src/engine/acceptance.rs
+++ b/crates/steer/src/engine/acceptance.rs
@@ -79,7 +79,7 @@
         if let Some(attempt) = opening.attempts().find(|attempt| attempt.upstream == upstream) {
             self.record_accepted(now, packet, upstream, now.since(attempt.sent_at));
         }
-        if opening.may_be_answered_elsewhere(upstream) {
+        if opening.may_be_answered_elsewhere(now, upstream) {
             self.pin(now, &packet.flow);
         }
     }
--- a/crates/steer/src/hold_queue.rs
+++ b/crates/steer/src/hold_queue.rs
@@ -33,6 +33,11 @@
         has_room
     }
 
+    /// When the oldest packet was added.
+    pub fn queued_since(&self) -> Option<Timestamp> {
+        self.packets.front().map(|(queued_at, _)| *queued_at)
+    }
+
     /// Removes the oldest packet that has not expired, and all expired ones before it.
     pub fn pop(&mut self, now: Timestamp) -> Option<P> {
         while let Some((queued_at, packet)) = self.packets.pop_front() {
--- a/crates/steer/src/openings.rs
+++ b/crates/steer/src/openings.rs
@@ -63,8 +63,10 @@
         /// Whether the first packet that arrived here was a retransmit. An earlier one went through
         /// another entry or was lost.
         pub began_as_retransmit: bool,
-        /// When the first packet arrived.
+        /// When the first packet was read.
         pub opened_at: Timestamp,
+        /// Time after which the first packet arrived; it may have waited to be read since then.
+        pub arrived_after: Timestamp,
         /// When the last packet arrived.
         pub last_packet_at: Timestamp,
         /// The flow's state.
@@ -92,6 +94,7 @@
             seq,
             began_as_retransmit: false,
             opened_at: now,
+            arrived_after: now,
             last_packet_at: now,
             stage: Stage::Opening,
             deadline: now,
@@ -118,8 +121,15 @@
     }
 
     /// Whether an upstream other than `upstream` may have got the opening and answer it at any time.
-    pub fn may_be_answered_elsewhere(&self, upstream: UpstreamId) -> bool {
-        self.began_as_retransmit || self.attempts().any(|attempt| attempt.upstream != upstream)
+    pub fn may_be_answered_elsewhere(&self, now: Timestamp, upstream: UpstreamId) -> bool {
+        self.may_have_passed_elsewhere(now)
+            || self.attempts().any(|attempt| attempt.upstream != upstream)
+    }
+
+    /// Whether another packet of the opening may have gone through another entry: this entry got a
+    /// retransmit first, or the client has had the time to send one.
+    pub fn may_have_passed_elsewhere(&self, now: Timestamp) -> bool {
+        self.began_as_retransmit || now.since(self.arrived_after) >= MAX_OPENING_AGE
     }
 
     /// The upstream of a flow that is or was open.
--- a/crates/steer/tests/pins.rs
+++ b/crates/steer/tests/pins.rs
@@ -79,6 +79,27 @@
     assert!(forwarded_to(anew).is_some(), "{anew:?}");
 }
 
+/// Guards against first requests that are reset by an upstream which got a retransmit of the opening
+/// through another entry: the one that opened the flow knew of one attempt, and told nobody of it when it stopped.
+#[test]
+fn on_packet_flow_opened_after_a_retransmit_was_due_is_pinned() {
+    // Times from the arrival until the opening is read, and from then until the acknowledgement.
+    for (waited_ms, acked_ms, pins) in [(0, 150, 0), (0, 205, 1), (200, 10, 1), (100, 10, 0)] {
+        let mut entry = engine(table());
+        entry.note_arrival(at(1_000));
+        let opening = entry.on_packet(at(1_000 + waited_ms), &opening_packet(1), &OPENING_BYTES);
+        let first_ack = ack_packet(1, forwarded_to(opening).unwrap(), 5_000);
+        let first_ack = Packet { token: opening_token(opening), ..first_ack };
+        let acked_at = at(1_000 + waited_ms + acked_ms);
+        assert_eq!(forwarded_to(entry.on_packet(acked_at, &first_ack, &[])), forwarded_to(opening));
+        assert_eq!(
+            entry.take_new_pins().len(),
+            pins,
+            "acknowledged after {waited_ms} + {acked_ms} ms"
+        );
+    }
+}
+
 /// A flow that was opened at an upstream that only another entry had tried is pinned.
 #[test]
 fn on_packet_flow_opened_at_attempt_of_another_entry_is_pinned() {
