node: messages with pins are confirmed, and sent again until they are

Callers saw first requests on flows that they had opened ahead reset by an upstream that never had the flow, after the entry that had opened it had ended.

Cause: pins went out once, in one datagram to each holder. If it was lost, or came from an entry whose registration the receiver had not seen, nobody knew the flow when its opener ended. A leaving entry sent all pins once more without knowing whether they arrived, and what it pinned at the very end was lost in its queue.

Change: Pins messages are numbered; receivers confirm them (PinsReceived). node::pin_outbox sends them again with growing intervals. A leaving entry reads what has arrived, passes its last pins on, and ends when all listed entries have confirmed, after 700 ms at most.

Tests: pins::share has become PinOutbox::add; share_pins_in_datagrams checks the same of it.

--- a/crates/directory/src/state.rs
+++ b/crates/directory/src/state.rs
@@ -389,6 +389,11 @@
         listed.chain(missing).map(|(name, stored)| (name.as_str(), &stored.member))
     }
 
+    /// Whether the store lists the registration of an entry.
+    pub fn is_registered(&self, name: &str) -> bool {
+        self.members.get(name).is_some_and(|stored| stored.removed_at.is_none())
+    }
+
     /// Time of the next change of the table without a change of records, if any.
     pub fn next_change(&self) -> Option<Timestamp> {
         let trusted_at = match self.store_trust {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -10,18 +10,21 @@
 use directory::{Directory, Member, Record};
 use health::{Reachability, Tally};
 use kameo::Actor;
+use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use load::Entry;
 use peer_proto::v1;
 use stdx::hash;
 use stdx::time::{Clock, Timestamp};
-use steer::{FlowKey, Table, UpstreamId};
+use steer::{FlowKey, Pin, Table, UpstreamId};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
+use tokio::time;
 
 use crate::event_log::EventLogger;
 use crate::facts::Giving;
 use crate::load_news;
+use crate::pin_outbox::PinOutbox;
 use crate::pins::{self, PendingLookups};
 use crate::route_history::{self, RouteLookup};
 use crate::silences;
@@ -126,6 +129,23 @@
     pub pins: v1::Pins,
 }
 
+/// Another entry has confirmed a message with pins.
+#[derive(Debug, Clone, Copy)]
+pub struct PinsConfirmed {
+    /// The other entry.
+    pub from: SocketAddrV4,
+    /// The number of the message.
+    pub number: u32,
+}
+
+/// Sends unconfirmed pins again, as far as they are due.
+#[derive(Debug, Clone, Copy)]
+pub struct ResendPins;
+
+/// Asks for the number of messages with pins that listed entries have not confirmed.
+#[derive(Debug, Clone, Copy)]
+pub struct CountUnconfirmedPins;
+
 /// Flows whose upstreams another entry asks for.
 #[derive(Debug)]
 pub struct ReceivedLookup {
@@ -175,6 +195,9 @@
     reach: Reachability,
     route_lookup: RouteLookup,
     pin_lookups: PendingLookups,
+    pin_outbox: PinOutbox,
+    /// Whether a [`ResendPins`] message is under way.
+    resends_pins: bool,
     table: Arc<Table>,
     socket: Arc<UdpSocket>,
     pub(crate) giving: Giving,
@@ -208,6 +231,8 @@
             reach: Reachability::default(),
             route_lookup: RouteLookup::default(),
             pin_lookups: PendingLookups::default(),
+            pin_outbox: PinOutbox::default(),
+            resends_pins: false,
             table: Arc::new(Table::default()),
             socket,
             giving: Giving::default(),
@@ -268,6 +293,7 @@
             }
         }
         self.event_logger.on_tick(now);
+        self.event_logger.on_pin_messages(self.pin_outbox.stats());
         self.update_readiness(now);
     }
 
@@ -335,6 +361,21 @@
         }
     }
 
+    /// Has the actor send unconfirmed pins again when they are due.
+    fn schedule_resend(&mut self, now: Timestamp, control: &ActorRef<Self>) {
+        let Some(due) = self.pin_outbox.next_due().filter(|_| !self.resends_pins) else {
+            return;
+        };
+        self.resends_pins = true;
+        let control = control.clone();
+        tokio::spawn(async move {
+            time::sleep(due.since(now)).await;
+            if control.tell(ResendPins).await.is_err() {
+                tracing::debug!("control actor has stopped; pins are not sent again");
+            }
+        });
+    }
+
     /// Pings entries of unreachable zones to find out whether the zones can be reached after all.
     fn ping_unreachable_zones(&mut self, now: Timestamp) {
         let own = self.name.as_str();
@@ -478,7 +519,8 @@
 impl Message<SendToPeers> for Control {
     type Reply = ();
 
-    async fn handle(&mut self, msg: SendToPeers, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: SendToPeers, cx: &mut Context<Self, ()>) {
+        let now = self.clock.now();
         let mut unheld = Vec::new();
         let members = || self.directory.members();
         let messages = match &msg.0 {
@@ -497,10 +539,13 @@
                 let recipients = update_recipients(&self.name, members());
                 recipients.into_iter().map(|addr| (addr, bytes.clone())).collect()
             }
-            PeerMessage::Pins(pins) => pins::share(pins, &self.name, members),
+            PeerMessage::Pins(pins) => {
+                let holders = |pin: &Pin| pins::holders(&pin.flow, &self.name, members());
+                self.pin_outbox.add(now, pins, holders)
+            }
             PeerMessage::LookUp(flows) => {
                 let holders = |flow: &FlowKey| pins::holders(flow, &self.name, members());
-                unheld = self.pin_lookups.begin(self.clock.now(), flows, holders);
+                unheld = self.pin_lookups.begin(now, flows, holders);
                 pins::look_up(flows, &self.name, members)
             }
             PeerMessage::Found { to, pins, unknown } => pins::answer(*to, pins, unknown),
@@ -512,6 +557,41 @@
         if !unheld.is_empty() {
             self.send_command(Command::Answered(unheld));
         }
+        self.schedule_resend(now, cx.actor_ref());
+    }
+}
+
+impl Message<PinsConfirmed> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: PinsConfirmed, _: &mut Context<Self, ()>) {
+        self.pin_outbox.on_confirmed(msg.from, msg.number);
+    }
+}
+
+impl Message<ResendPins> for Control {
+    type Reply = ();
+
+    async fn handle(&mut self, _: ResendPins, cx: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        self.resends_pins = false;
+        let is_listed = self.directory.is_registered(&self.name);
+        let is_member =
+            |addr| self.directory.members().any(|(_, member): (&str, &Member)| member.addr == addr);
+        for (to, bytes) in self.pin_outbox.take_due(now, is_listed, is_member) {
+            self.send_to_peer(&bytes, to);
+        }
+        self.schedule_resend(now, cx.actor_ref());
+    }
+}
+
+impl Message<CountUnconfirmedPins> for Control {
+    type Reply = usize;
+
+    async fn handle(&mut self, _: CountUnconfirmedPins, _: &mut Context<Self, usize>) -> usize {
+        let listed =
+            || self.directory.members().filter(|(name, _)| self.directory.is_registered(name));
+        self.pin_outbox.unconfirmed(|addr| listed().any(|(_, member)| member.addr == addr))
     }
 }
 
@@ -533,6 +613,9 @@
     async fn handle(&mut self, msg: ReceivedPins, _: &mut Context<Self, ()>) {
         if self.is_from_member(msg.from) {
             self.send_command(Command::Pins(pins::decode(&msg.pins)));
+            if msg.pins.number != 0 {
+                self.send_to_peer(&pins::confirm(msg.pins.number), msg.from);
+            }
             let complete = self.pin_lookups.on_answer(msg.from, &pins::answered(&msg.pins));
             if !complete.is_empty() {
                 self.send_command(Command::Answered(complete));
--- a/crates/node/src/event_log.rs
+++ b/crates/node/src/event_log.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::logs::RateLimit;
+use crate::pin_outbox::OutboxStats;
 use crate::traffic::Counts;
 
 /// Maximum lines per second for sent openings and for opened flows, each: the log samples them,
@@ -39,6 +40,7 @@
     state_changes: RateLimit,
     last_suppressed_report: Timestamp,
     last_counts: Counts,
+    last_pin_messages: OutboxStats,
     /// Whether the view of load was lost while there was load; `None` before it was first known.
     load_view_lost: Option<bool>,
 }
@@ -58,6 +60,7 @@
             state_changes: RateLimit::new(MAX_FAILURE_LINES_PER_S),
             last_suppressed_report: Timestamp::default(),
             last_counts: Counts::default(),
+            last_pin_messages: OutboxStats::default(),
             load_view_lost: None,
         }
     }
@@ -335,6 +338,20 @@
         self.last_counts = *counts;
     }
 
+    /// Updates the metrics of messages with pins, and logs those that were given up.
+    pub fn on_pin_messages(&mut self, stats: OutboxStats) {
+        counter!("ibis_pin_messages_total", "outcome" => "sent").absolute(stats.sent);
+        counter!("ibis_pin_messages_total", "outcome" => "resent").absolute(stats.resent);
+        counter!("ibis_pin_messages_total", "outcome" => "confirmed").absolute(stats.confirmed);
+        counter!("ibis_pin_messages_total", "outcome" => "given_up").absolute(stats.given_up);
+        let given_up = stats.given_up - self.last_pin_messages.given_up;
+        if given_up > 0 {
+            let resent = stats.resent - self.last_pin_messages.resent;
+            tracing::warn!(given_up, resent, "messages with pins were not confirmed");
+        }
+        self.last_pin_messages = stats;
+    }
+
     /// Updates the metrics of the view of load, and logs when it is lost and known again.
     fn on_load_view(&mut self, counts: &Counts) {
         let (news, before) = (counts.load_news, self.last_counts.load_news);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logs;
 pub mod pause;
 pub mod peers;
+pub mod pin_outbox;
 pub mod pins;
 pub mod route_history;
 pub mod shutdown;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 
 use kameo::actor::ActorRef;
+use peer_proto::v1;
 use peer_proto::v1::reach::Kind;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time;
 
 use crate::control::{
-    Control, PingZones, Pong, ReceivedLoadReport, ReceivedLookup, ReceivedPins,
+    Control, PingZones, PinsConfirmed, Pong, ReceivedLoadReport, ReceivedLookup, ReceivedPins,
     ReceivedRouteLookup, ReceivedRouteServices, ReceivedSilences, ReceivedUpdates, SendToPeers,
 };
 use crate::facts::{ReceivedFactsState, ReceivedOffer};
@@ -75,6 +76,11 @@
                     return;
                 }
             }
+            Ok(Some(Kind::PinsReceived(v1::PinsReceived { number }))) => {
+                if control.tell(PinsConfirmed { from, number }).await.is_err() {
+                    return;
+                }
+            }
             Ok(Some(Kind::PinLookup(lookup))) => {
                 if control.tell(ReceivedLookup { from, lookup }).await.is_err() {
                     return;
--- a/crates/node/src/pins.rs
+++ b/crates/node/src/pins.rs
@@ -88,19 +88,6 @@
     ranked.into_iter().take(HOLDERS).map(|(_, addr)| addr).collect()
 }
 
-/// Messages with pins, each for one of their holders.
-pub fn share<'a, M>(
-    pins: &[Pin],
-    own: &str,
-    members: impl Fn() -> M,
-) -> Vec<(SocketAddrV4, Vec<u8>)>
-where
-    M: Iterator<Item = (&'a str, &'a Member)>,
-{
-    let holders = |pin: &Pin| holders(&pin.flow, own, members());
-    batches(pins, holders).map(|(to, pins)| (to, encode_pins(&pins, &[]))).collect()
-}
-
 /// Messages that ask the holders of flows for their pins.
 pub fn look_up<'a, M>(
     flows: &[FlowKey],
@@ -120,11 +107,16 @@
 
 /// Messages that answer another entry's lookup: the pins, and the flows that are not known here.
 pub fn answer(to: SocketAddrV4, pins: &[Pin], unknown: &[FlowKey]) -> Vec<(SocketAddrV4, Vec<u8>)> {
-    let known = pins.chunks(MAX_PER_MESSAGE).map(|pins| encode_pins(pins, &[]));
-    let unknown = unknown.chunks(MAX_PER_MESSAGE).map(|flows| encode_pins(&[], flows));
+    let known = pins.chunks(MAX_PER_MESSAGE).map(|pins| encode_pins(pins, &[], 0));
+    let unknown = unknown.chunks(MAX_PER_MESSAGE).map(|flows| encode_pins(&[], flows, 0));
     known.chain(unknown).map(|bytes| (to, bytes)).collect()
 }
 
+/// The message that confirms pins, by their message's number.
+pub fn confirm(number: u32) -> Vec<u8> {
+    peer_proto::encode_reach(Kind::PinsReceived(v1::PinsReceived { number }))
+}
+
 /// The flows about which a message says anything.
 pub fn answered(msg: &v1::Pins) -> Vec<FlowKey> {
     let known = msg.pins.iter().filter_map(|pin| pin.flow.as_ref());
@@ -150,7 +142,7 @@
 }
 
 /// Groups items by recipient, in batches that fit into a message.
-fn batches<T: Copy>(
+pub(crate) fn batches<T: Copy>(
     items: &[T],
     recipients: impl Fn(&T) -> Vec<SocketAddrV4>,
 ) -> impl Iterator<Item = (SocketAddrV4, Vec<T>)> {
@@ -166,7 +158,9 @@
     })
 }
 
-fn encode_pins(pins: &[Pin], unknown: &[FlowKey]) -> Vec<u8> {
+/// Encodes pins and flows that are not known here. The recipient confirms a message with a `number`
+/// other than 0.
+pub(crate) fn encode_pins(pins: &[Pin], unknown: &[FlowKey], number: u32) -> Vec<u8> {
     let encode = |pin: &Pin| v1::Pin {
         flow: Some(encode_flow(&pin.flow)),
         initial_seq: pin.initial_seq,
@@ -175,7 +169,7 @@
     };
     let pins = pins.iter().map(encode).collect();
     let unknown = unknown.iter().map(encode_flow).collect();
-    peer_proto::encode_reach(Kind::Pins(v1::Pins { pins, unknown }))
+    peer_proto::encode_reach(Kind::Pins(v1::Pins { pins, unknown, number }))
 }
 
 fn encode_flow(flow: &FlowKey) -> v1::FlowKey {
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -1,10 +1,14 @@
-//! Connection draining: how long an entry goes on forwarding traffic after SIGTERM.
+//! What an entry does after SIGTERM: it goes on forwarding traffic for a time, and ends when the others
+//! have confirmed what it knows of flows.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use kameo::actor::ActorRef;
 use tokio::time::{self, Instant};
 
+use crate::control::{Control, CountUnconfirmedPins};
+
 /// Minimum time of draining: routers stop using an entry after two missed readiness checks, half a
 /// second apart.
 const MIN_DRAIN: Duration = Duration::from_millis(1_100);
@@ -35,3 +39,24 @@
         before = now;
     }
 }
+
+/// Maximum time to wait for the confirmation of pins. An entry that has crashed is listed for longer.
+const MAX_CONFIRM_TIME: Duration = Duration::from_millis(700);
+
+/// Interval between checks for it.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Waits until the other entries have confirmed the pins of this one. Returns the number of messages
+/// that some have not.
+pub async fn confirm_pins(control: &ActorRef<Control>) -> usize {
+    let start = Instant::now();
+    loop {
+        let Ok(unconfirmed) = control.ask(CountUnconfirmedPins).await else {
+            return 0;
+        };
+        if unconfirmed == 0 || start.elapsed() >= MAX_CONFIRM_TIME {
+            return unconfirmed;
+        }
+        time::sleep(CONFIRM_INTERVAL).await;
+    }
+}
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -319,7 +319,7 @@
             // meanwhile have to be read before timers run.
             while let Ok(command) = inbox.try_recv() {
                 if !self.on_command(command) {
-                    return Ok(());
+                    return self.finish(&mut buf);
                 }
             }
             self.check_pause();
@@ -335,6 +335,19 @@
         }
     }
 
+    /// Handles the packets that have arrived, and passes the last pins on: nobody else knows them.
+    fn finish(&mut self, buf: &mut [u8]) -> io::Result<()> {
+        let end = self.clock.now() + MAX_WAIT;
+        while self.receive(buf)? && self.clock.now() < end {}
+        let pins = self.engine.take_new_pins();
+        if !pins.is_empty()
+            && self.out.peer_messages.blocking_send(PeerMessage::Pins(pins)).is_err()
+        {
+            self.counts.updates_lost += 1;
+        }
+        Ok(())
+    }
+
     /// Holds openings after a process pause; replays them by the old table if no new one arrives
     /// within [`MAX_TABLE_WAIT`].
     fn check_pause(&mut self) {
@@ -476,9 +489,12 @@
     /// Passes new pins and lookups to the control thread, so that other entries have a flow's pin
     /// before its next request.
     fn share_pins(&mut self) {
-        let pins = self.engine.take_new_pins();
-        if !pins.is_empty() {
-            self.send_to_peers(PeerMessage::Pins(pins));
+        // While the queue is full they wait.
+        if self.out.peer_messages.capacity() > 0 {
+            let pins = self.engine.take_new_pins();
+            if !pins.is_empty() {
+                self.send_to_peers(PeerMessage::Pins(pins));
+            }
         }
         self.unknown_flows.extend(self.engine.take_new_inquiries());
         if !self.unknown_flows.is_empty() {
--- a/crates/node/tests/pins.rs
+++ b/crates/node/tests/pins.rs
@@ -6,6 +6,7 @@
 
 use directory::Member;
 use indexmap::IndexMap;
+use node::pin_outbox::PinOutbox;
 use node::pins::{self, PendingLookups};
 use peer_proto::v1;
 use peer_proto::v1::reach::Kind;
@@ -61,7 +62,8 @@
     let sent: Vec<Pin> = (0..100).map(pin).collect();
     let members = || fleet.iter().map(|(name, member)| (name.as_str(), member));
     let mut received: IndexMap<SocketAddrV4, Vec<Pin>> = IndexMap::new();
-    for (to, bytes) in pins::share(&sent, "entry-0", members) {
+    let holders = |pin: &Pin| pins::holders(&pin.flow, "entry-0", members());
+    for (to, bytes) in PinOutbox::default().add(Timestamp::default(), &sent, holders) {
         assert!(bytes.len() <= 1_400, "{} bytes", bytes.len());
         let Ok(Some(Kind::Pins(msg))) = peer_proto::decode_reach(&bytes) else {
             panic!("not a message with pins");
@@ -97,6 +99,7 @@
     let msg = v1::Pins {
         pins: vec![pin(None), pin(Some(invalid)), pin(Some(valid))],
         unknown: Vec::new(),
+        number: 0,
     };
     assert_eq!(pins::decode(&msg).len(), 1);
     let lookup = v1::PinLookup { flows: vec![invalid, valid] };
