--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -294,6 +294,10 @@
         }
         self.event_logger.on_tick(now);
         self.event_logger.on_pin_messages(self.pin_outbox.stats());
+        for (entry, flows) in self.pin_lookups.take_unanswered(now) {
+            metrics::counter!("ibis_flow_lookups_unanswered_total").increment(flows);
+            tracing::info!(at = now.as_micros(), %entry, flows, "lookups were not answered in time");
+        }
         self.update_readiness(now);
     }
 
--- a/crates/node/src/pins.rs
+++ b/crates/node/src/pins.rs
@@ -29,6 +29,8 @@
 pub struct PendingLookups {
     /// When each flow was looked up, and the entries that have not answered yet.
     flows: IndexMap<FlowKey, (Timestamp, Vec<SocketAddrV4>)>,
+    /// Lookups that were not answered in time since the last report, by entry.
+    unanswered: IndexMap<SocketAddrV4, u64>,
 }
 
 impl PendingLookups {
@@ -39,7 +41,7 @@
         flows: &[FlowKey],
         holders: impl Fn(&FlowKey) -> Vec<SocketAddrV4>,
     ) -> Vec<FlowKey> {
-        self.flows.retain(|_, (since, _)| now.since(*since) < LOOKUP_LIFETIME);
+        self.expire(now);
         let mut unheld = Vec::new();
         for flow in flows {
             let holders = holders(flow);
@@ -52,6 +54,23 @@
         unheld
     }
 
+    /// Entries that have not answered lookups in time since the last call, with the numbers of flows.
+    pub fn take_unanswered(&mut self, now: Timestamp) -> IndexMap<SocketAddrV4, u64> {
+        self.expire(now);
+        std::mem::take(&mut self.unanswered)
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        let unanswered = &mut self.unanswered;
+        self.flows.retain(|_, (since, holders)| {
+            let is_pending = now.since(*since) < LOOKUP_LIFETIME;
+            for holder in holders.iter().filter(|_| !is_pending) {
+                *unanswered.entry(*holder).or_default() += 1;
+            }
+            is_pending
+        });
+    }
+
     /// Removes an entry that has answered from the holders of flows. Returns the flows that all
     /// holders have answered.
     pub fn on_answer(&mut self, from: SocketAddrV4, flows: &[FlowKey]) -> Vec<FlowKey> {
--- a/crates/node/tests/pins.rs
+++ b/crates/node/tests/pins.rs
@@ -141,4 +141,6 @@
     assert_eq!(pending.on_answer(holder(2), &[flow(2), flow(4)]), [flow(2)]);
     assert_eq!(pending.begin(at(1_000), &[], holders), []);
     assert_eq!(pending.on_answer(holder(2), &[flow(3)]), [], "it is too late");
+    assert_eq!(pending.take_unanswered(at(1_000)), IndexMap::from([(holder(2), 1)]));
+    assert!(pending.take_unanswered(at(1_001)).is_empty());
 }
