--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -196,8 +196,8 @@
     route_lookup: RouteLookup,
     pin_lookups: PendingLookups,
     pin_outbox: PinOutbox,
-    /// Whether a [`ResendPins`] message is under way.
-    resends_pins: bool,
+    /// When the next [`ResendPins`] message comes, if one is under way.
+    resend_at: Option<Timestamp>,
     table: Arc<Table>,
     socket: Arc<UdpSocket>,
     pub(crate) giving: Giving,
@@ -232,7 +232,7 @@
             route_lookup: RouteLookup::default(),
             pin_lookups: PendingLookups::default(),
             pin_outbox: PinOutbox::default(),
-            resends_pins: false,
+            resend_at: None,
             table: Arc::new(Table::default()),
             socket,
             giving: Giving::default(),
@@ -367,10 +367,10 @@
 
     /// Has the actor send unconfirmed pins again when they are due.
     fn schedule_resend(&mut self, now: Timestamp, control: &ActorRef<Self>) {
-        let Some(due) = self.pin_outbox.next_due().filter(|_| !self.resends_pins) else {
+        let Some(due) = self.pin_outbox.next_due().filter(|_| self.resend_at.is_none()) else {
             return;
         };
-        self.resends_pins = true;
+        self.resend_at = Some(due);
         let control = control.clone();
         tokio::spawn(async move {
             time::sleep(due.since(now)).await;
@@ -578,7 +578,7 @@
 
     async fn handle(&mut self, _: ResendPins, cx: &mut Context<Self, ()>) {
         let now = self.clock.now();
-        self.resends_pins = false;
+        self.resend_at = None;
         let is_listed = self.directory.is_registered(&self.name);
         let is_member =
             |addr| self.directory.members().any(|(_, member): (&str, &Member)| member.addr == addr);
