node: lost pins are sent again soon although an older message is due later

Cause: the timer of an unconfirmed message to an entry that has crashed, up to 1 s, also held back new messages, longer than a leaving entry waits for their confirmation.

Change: an earlier message replaces the timer.

Evidence: send_to_peers_pins_beside_a_crashed_entry fails without the change.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -19,6 +19,7 @@
 use steer::{FlowKey, Pin, Table, UpstreamId};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
 use tokio::time;
 
 use crate::event_log::EventLogger;
@@ -196,8 +197,8 @@
     route_lookup: RouteLookup,
     pin_lookups: PendingLookups,
     pin_outbox: PinOutbox,
-    /// When the next [`ResendPins`] message comes, if one is under way.
-    resend_at: Option<Timestamp>,
+    /// When the next [`ResendPins`] message comes, and its timer.
+    next_resend: Option<(Timestamp, AbortHandle)>,
     table: Arc<Table>,
     socket: Arc<UdpSocket>,
     pub(crate) giving: Giving,
@@ -232,7 +233,7 @@
             route_lookup: RouteLookup::default(),
             pin_lookups: PendingLookups::default(),
             pin_outbox: PinOutbox::default(),
-            resend_at: None,
+            next_resend: None,
             table: Arc::new(Table::default()),
             socket,
             giving: Giving::default(),
@@ -367,17 +368,23 @@
 
     /// Has the actor send unconfirmed pins again when they are due.
     fn schedule_resend(&mut self, now: Timestamp, control: &ActorRef<Self>) {
-        let Some(due) = self.pin_outbox.next_due().filter(|_| self.resend_at.is_none()) else {
+        let Some(due) = self.pin_outbox.next_due() else {
             return;
         };
-        self.resend_at = Some(due);
+        if let Some((at, timer)) = &self.next_resend {
+            if *at <= due {
+                return;
+            }
+            timer.abort();
+        }
         let control = control.clone();
-        tokio::spawn(async move {
+        let timer = tokio::spawn(async move {
             time::sleep(due.since(now)).await;
             if control.tell(ResendPins).await.is_err() {
                 tracing::debug!("control actor has stopped; pins are not sent again");
             }
         });
+        self.next_resend = Some((due, timer.abort_handle()));
     }
 
     /// Pings entries of unreachable zones to find out whether the zones can be reached after all.
@@ -578,7 +585,7 @@
 
     async fn handle(&mut self, _: ResendPins, cx: &mut Context<Self, ()>) {
         let now = self.clock.now();
-        self.resend_at = None;
+        self.next_resend = None;
         let is_listed = self.directory.is_registered(&self.name);
         let is_member =
             |addr| self.directory.members().any(|(_, member): (&str, &Member)| member.addr == addr);
